--- a/internal/control/catalog/answer.go
+++ b/internal/control/catalog/answer.go
@@ -35,13 +35,18 @@
 	case figpier.EditApplyProfile:
 		return fmt.Sprintf("%s %016x", e.Kind(), profileDigest(e.Profile().WithRevision(0)))
 	case figpier.EditReplaceTable:
-		return fmt.Sprintf("%s %d %016x", e.Kind(), e.Table().Number(), xxh3.Hash(e.Table().Document()))
+		return tableFingerprint(e.Table().Number(), codec.FormatDocumentDigest(e.Table().Document()))
 	case figpier.EditGiveKey:
 		return fmt.Sprintf("%s %q", e.Kind(), e.Key().Customer())
 	}
 	return fmt.Sprintf("%s %q %q %q", e.Kind(), e.ProfileName(), e.Service(), e.KeyID())
 }
 
+// tableFingerprint returns the fingerprint of an edit that replaces the routing table by one with the number and document digest.
+func tableFingerprint(number uint64, documentDigest string) string {
+	return fmt.Sprintf("%s %d %s", figpier.EditReplaceTable, number, documentDigest)
+}
+
 // profileDigest returns a hash of a profile's encoding, 0 if it cannot be encoded.
 func profileDigest(p *figpier.Profile) uint64 {
 	text, err := json.Marshal(codec.FromProfile(p))
--- a/internal/control/catalog/catalog.go
+++ b/internal/control/catalog/catalog.go
@@ -74,7 +74,7 @@
 	if err := validate(e); err != nil {
 		return nil, err
 	}
-	command, err := json.Marshal(codec.FromEdit(e))
+	command, err := json.Marshal(codec.FromEdit(e, c.Configuration().Table()))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -112,7 +112,13 @@
 	if err := json.Unmarshal(command, &m); err != nil {
 		return editResult{err: figpier.NewInvalidEditError(fmt.Sprintf("record %d: %v", index, err))}
 	}
-	e, err := codec.ToEdit(m)
+	if m.TableDelta != nil && !c.state.hasTable(m.TableDelta.Base) {
+		return c.state.refuseBase(figpier.OperationID(m.Operation), *m.TableDelta)
+	}
+	e, err := codec.ToEdit(m, c.state.configuration.Table())
+	if err == nil {
+		err = validate(e)
+	}
 	if err != nil {
 		return editResult{err: figpier.NewInvalidEditError(fmt.Sprintf("record %d: %v", index, err))}
 	}
--- a/internal/control/catalog/state.go
+++ b/internal/control/catalog/state.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/figpier/figpier"
+	"github.com/figpier/figpier/internal/wire/message"
 )
 
 // maxAnswers is the number of recent operations whose answers are stored for resends.
@@ -46,6 +47,36 @@
 	return r, nil
 }
 
+// hasTable reports whether the routing table has the number.
+func (s *state) hasTable(number int) bool {
+	t := s.configuration.Table()
+	return t != nil && t.Number() == uint64(number)
+}
+
+// refuseBase answers an edit whose routing table is a difference from another table than the current one: a resend with the
+// first answer, and any other edit with a conflict.
+func (s *state) refuseBase(o figpier.OperationID, d message.TableDelta) editResult {
+	fingerprint := tableFingerprint(uint64(d.Head.Number), valueOrEmpty(d.DocumentDigest))
+	if a, ok := s.answers[o]; ok {
+		r, err := a.replay(fingerprint)
+		return editResult{receipt: r, err: err}
+	}
+	var current figpier.Revision
+	if t := s.configuration.Table(); t != nil {
+		current = figpier.Revision(t.Number())
+	}
+	err := figpier.NewConflictError(current)
+	s.recordAnswer(&recordedAnswer{operation: o, fingerprint: fingerprint, err: err})
+	return editResult{err: err}
+}
+
+func valueOrEmpty(s *string) string {
+	if s == nil {
+		return ""
+	}
+	return *s
+}
+
 func (s *state) recordAnswer(a *recordedAnswer) {
 	s.answers[a.operation] = a
 	s.order = append(s.order, a.operation)
--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -118,6 +118,18 @@
 	return all
 }
 
+// Distance implements figpier.DistanceSource.
+func (x *Exchange) Distance(address string) figpier.Distance {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	other, ok := x.controls[address]
+	if !ok {
+		return figpier.DistanceUnknown
+	}
+	own := x.config.Place
+	return figpier.DistanceBetween(own.DataCentre(), own.Region(), other.DataCentre(), other.Region())
+}
+
 // followPeers runs follow for each other member of the log for as long as it is a member.
 func (x *Exchange) followPeers(ctx context.Context) {
 	followed := map[string]context.CancelFunc{}
--- a/internal/control/subscription/history.go
+++ b/internal/control/subscription/history.go
@@ -12,6 +12,10 @@
 // configuration.
 const maxRemovals = 8192
 
+// maxTables is the number of routing tables that the history keeps, current one included; a node that has an older one gets the
+// whole table.
+const maxTables = 32
+
 // removal is a profile or key that is no longer in the configuration.
 type removal struct {
 	revision figpier.Revision
@@ -29,6 +33,10 @@
 	current *figpier.Configuration
 	// removals are in the order of their revisions.
 	removals []removal
+	// tables are the latest routing tables, the current one last.
+	tables []*figpier.Table
+	// tableChanges holds the differences from earlier tables to the current one, by the number of the earlier table.
+	tableChanges map[uint64]*message.TableDelta
 	// changed is closed when the next configuration is installed.
 	changed chan struct{}
 }
@@ -45,10 +53,43 @@
 		h.recordRemovals(c)
 	}
 	h.current = c
+	h.recordTable(c.Table())
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
 
+// recordTable records the routing table of a newer configuration, nil for none; the mutex must be held.
+func (h *history) recordTable(t *figpier.Table) {
+	if t == nil || len(h.tables) > 0 && h.tables[len(h.tables)-1].Number() == t.Number() {
+		return
+	}
+	h.tables = append(h.tables, t)
+	if len(h.tables) > maxTables {
+		h.tables = h.tables[1:]
+	}
+	h.tableChanges = map[uint64]*message.TableDelta{}
+}
+
+// tableChange returns the difference from the table with a number to the current one, nil if that table is not kept or
+// the difference can't be encoded; the mutex must be held.
+func (h *history) tableChange(number uint64) *message.TableDelta {
+	if d, ok := h.tableChanges[number]; ok {
+		return d
+	}
+	for _, t := range h.tables {
+		if t.Number() != number {
+			continue
+		}
+		d, err := codec.FromTableChange(t, h.current.Table())
+		if err != nil {
+			return nil
+		}
+		h.tableChanges[number] = &d
+		return &d
+	}
+	return nil
+}
+
 // recordRemovals records the profiles and keys that a newer configuration no longer has; the mutex must be held.
 func (h *history) recordRemovals(c *figpier.Configuration) {
 	for name := range h.current.Profiles() {
@@ -75,8 +116,9 @@
 	return h.current, h.changed
 }
 
-// since returns what changed after a revision, or false if the history does not reach back that far.
-func (h *history) since(base figpier.Revision) (*message.ConfigurationDelta, bool) {
+// since returns what changed after a revision, or false if the history does not reach back that far. table is the number of the
+// routing table that the node has, 0 for none: a changed table is sent as the difference from that one if it is kept, and else whole.
+func (h *history) since(base figpier.Revision, table uint64) (*message.ConfigurationDelta, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if base < h.completeSince {
@@ -88,6 +130,11 @@
 		GoneProfiles: []string{},
 		GoneKeys:     []string{},
 	}
+	if d.Changed.Table != nil {
+		if d.Table = h.tableChange(table); d.Table != nil {
+			d.Changed.Table = nil
+		}
+	}
 	for _, r := range h.removals {
 		switch {
 		case r.revision <= base:
--- a/internal/control/subscription/history_test.go
+++ b/internal/control/subscription/history_test.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -26,7 +28,7 @@
 			if !rapid.Bool().Draw(t, "poll") {
 				continue
 			}
-			d, ok := h.since(follower.Revision())
+			d, ok := h.since(follower.Revision(), tableNumber(follower))
 			assert.Assert(t, ok)
 			next, err := codec.ApplyDelta(follower, *d)
 			assert.NilError(t, err)
@@ -39,9 +41,9 @@
 func TestDeltaIsRefusedWhenRemovalsAreForgotten(t *testing.T) {
 	h := newHistory()
 	h.install(figpier.NewConfiguration(figpier.ConfigurationConfig{Revision: 7}))
-	_, ok := h.since(6)
+	_, ok := h.since(6, 0)
 	assert.Assert(t, !ok)
-	_, ok = h.since(7)
+	_, ok = h.since(7, 0)
 	assert.Assert(t, ok)
 }
 
@@ -51,7 +53,7 @@
 	n := rapid.IntRange(0, 3).Draw(t, "object")
 	name := figpier.ProfileName(fmt.Sprint("p", n))
 	digest := figpier.KeyDigest{byte(n)}
-	switch rapid.SampledFrom([]string{"apply", "delete", "assign", "give", "withdraw"}).Draw(t, "edit") {
+	switch rapid.SampledFrom([]string{"apply", "delete", "assign", "give", "withdraw", "table"}).Draw(t, "edit") {
 	case "apply":
 		next.Profiles[name] = figpier.NewProfile(figpier.ProfileConfig{Name: name, Revision: next.Revision})
 	case "delete":
@@ -66,6 +68,8 @@
 		}
 	case "withdraw":
 		delete(next.Keys, digest)
+	case "table":
+		next.Table = randomTable(t, next.Table, next.Revision)
 	}
 	return figpier.NewConfiguration(next)
 }
@@ -75,3 +79,80 @@
 	assert.NilError(t, err)
 	return string(data)
 }
+
+// randomTable returns a table that differs from the current one by random routes and accounts, which may be repeated, moved,
+// changed, added or removed.
+func randomTable(t *rapid.T, current *figpier.Table, r figpier.Revision) *figpier.Table {
+	next := figpier.TableConfig{Number: uint64(r), Revision: r}
+	if current != nil {
+		next.Routes = append(next.Routes, current.Config().Routes...)
+		next.Accounts = append(next.Accounts, current.Accounts()...)
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "routes") {
+		at := rapid.IntRange(0, len(next.Routes)).Draw(t, "at")
+		if rapid.Bool().Draw(t, "remove") {
+			next.Routes = slices.Delete(next.Routes, max(0, at-1), at)
+			continue
+		}
+		added := figpier.NewHostRoute(figpier.HostRouteConfig{
+			Name:    fmt.Sprint("r", rapid.IntRange(0, 5).Draw(t, "name")),
+			Timeout: time.Duration(rapid.IntRange(1, 3).Draw(t, "timeout")) * time.Second,
+			Parts:   []figpier.RoutePart{figpier.NewRoutePart(figpier.RoutePartConfig{Service: "s", Weight: 1})},
+		})
+		next.Routes = slices.Insert(next.Routes, at, added)
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "accounts") {
+		n := rapid.IntRange(0, 9).Draw(t, "customer")
+		next.Accounts = append(next.Accounts, figpier.NewAccount(figpier.AccountConfig{
+			Customer: figpier.CustomerID(fmt.Sprint("c", n)),
+			Keys:     []figpier.KeyDigest{{byte(n)}},
+		}))
+	}
+	return figpier.NewTable(next)
+}
+
+func tableNumber(c *figpier.Configuration) uint64 {
+	if c.Table() == nil {
+		return 0
+	}
+	return c.Table().Number()
+}
+
+func TestTableIsSentAsDifferenceWhileItsBaseIsKept(t *testing.T) {
+	h := newHistory()
+	for number := uint64(1); number <= maxTables+1; number++ {
+		h.install(figpier.NewConfiguration(figpier.ConfigurationConfig{
+			Revision: figpier.Revision(number),
+			Table:    figpier.NewTable(figpier.TableConfig{Number: number, Revision: figpier.Revision(number)}),
+		}))
+	}
+	d, ok := h.since(2, 2)
+	assert.Assert(t, ok)
+	assert.Assert(t, d.Table != nil && d.Changed.Table == nil)
+
+	d, ok = h.since(1, 1)
+	assert.Assert(t, ok)
+	assert.Assert(t, d.Table == nil && d.Changed.Table != nil, "table 1 is no longer kept")
+
+	d, ok = h.since(2, 7000)
+	assert.Assert(t, ok)
+	assert.Assert(t, d.Table == nil && d.Changed.Table != nil, "a table that this instance never had")
+}
+
+func TestNodeRefusesADifferenceFromAnotherTable(t *testing.T) {
+	newTable := func(number uint64, service figpier.UpstreamService) *figpier.Table {
+		return figpier.NewTable(figpier.TableConfig{Number: number, Revision: figpier.Revision(number), Services: []*figpier.TableService{
+			figpier.NewTableService(figpier.TableServiceConfig{Name: service}),
+		}})
+	}
+	h := newHistory()
+	for number := uint64(1); number <= 2; number++ {
+		h.install(figpier.NewConfiguration(figpier.ConfigurationConfig{Revision: figpier.Revision(number), Table: newTable(number, "a")}))
+	}
+	d, ok := h.since(1, 1)
+	assert.Assert(t, ok)
+	_, err := codec.ApplyDelta(figpier.NewConfiguration(figpier.ConfigurationConfig{Revision: 1, Table: newTable(1, "b")}), *d)
+	assert.ErrorContains(t, err, "digest")
+	_, err = codec.ApplyDelta(figpier.NewConfiguration(figpier.ConfigurationConfig{Revision: 1}), *d)
+	assert.ErrorContains(t, err, "not the one here")
+}
--- a/internal/control/subscription/server.go
+++ b/internal/control/subscription/server.go
@@ -16,9 +16,9 @@
 // It is far above any freshness bound of the nodes.
 const maxReportedAge = 24 * time.Hour
 
-// unsettledWait is how long a poll waits while the registry is not settled: short, so that nodes learn of members soon
-// after these announce themselves.
-const unsettledWait = 200 * time.Millisecond
+// coalesceTime is how long a poll waits after a change for further ones, so that changes in quick succession, such as the
+// members of a fleet that starts, cost a few messages a node instead of one for each change.
+const coalesceTime = 100 * time.Millisecond
 
 // Server is the service that answers nodes' polls.
 type Server struct {
@@ -57,6 +57,7 @@
 	}
 	s.catalog.Subscribe(func(c *figpier.Configuration) { _ = d.Control().Post(configurationEvent{configuration: c}) })
 	m.Handle(figpier.MethodPoll, s.handlePoll)
+	m.Handle(figpier.MethodControls, s.handleControls)
 	return d.Control().Post(configurationEvent{configuration: s.catalog.Configuration()})
 }
 
@@ -80,8 +81,7 @@
 	}
 }
 
-// handlePoll handles figpier.MethodPoll. The poll of a node that runs beside a backend server also renews its lease. A node
-// whose member versions belong to another registry, such as that of a restarted control instance, gets all members.
+// handlePoll handles figpier.MethodPoll. The poll of a node that runs beside a backend server also renews its lease.
 func (s *Server) handlePoll(ctx context.Context, decode figpier.Decode) (any, error) {
 	var p message.Poll
 	if err := decode(&p); err != nil {
@@ -90,17 +90,47 @@
 	if p.Member.Service != "" {
 		s.registry.Announce(codec.ToMember(p.Member), time.Duration(p.ElsewhereMillis)*time.Millisecond)
 	}
-	full := p.Registry != s.registry.ID()
-	switch {
-	case !full:
+	// Read once, so that a list which was not checked against a settled registry never counts as complete.
+	settled := s.registry.Settled(s.clock.Now())
+	full := s.needsAllMembers(&p, settled)
+	if !full {
 		s.waitForChange(ctx, p)
-	case !s.registry.Settled(s.clock.Now()):
-		s.delayUnsettled(ctx, p)
 	}
-	if full {
-		p.MemberVersion = 0
+	return s.answer(p, full, settled), nil
+}
+
+// needsAllMembers reports whether the node has to be sent all members: its member versions belong to another registry, such as
+// that of a restarted control instance, or its list may hold former members. If its list is complete all the same, the
+// poll is changed to one that names this registry and its version.
+func (s *Server) needsAllMembers(p *message.Poll, settled bool) bool {
+	known := p.Registry == s.registry.ID()
+	if known && (!isTrue(p.Partial) || !settled) {
+		return false
+	}
+	p.MemberVersion = 0
+	if !settled || p.MembersDigest == nil {
+		return true
+	}
+	all := s.registry.Since(0)
+	if codec.FormatMembersDigest(followedMembers(all.Members(), p.Services)) != *p.MembersDigest {
+		return true
+	}
+	p.MemberVersion = int(all.Version())
+	return false
+}
+
+func isTrue(b *bool) bool { return b != nil && *b }
+
+// followedMembers returns the members of the services.
+func followedMembers(members []*figpier.Member, services []string) []*figpier.Member {
+	followed := figpier.NewSet(services...)
+	var kept []*figpier.Member
+	for _, m := range members {
+		if followed.Has(string(m.Service())) {
+			kept = append(kept, m)
+		}
 	}
-	return s.answer(p, full), nil
+	return kept
 }
 
 // waitForChange returns once the configuration or the members are newer than the node's, or when the poll's waiting time is
@@ -112,21 +142,14 @@
 		return
 	}
 	wait := min(time.Duration(p.WaitMillis)*time.Millisecond, maxPollWait)
-	s.waitForEither(ctx, wait, configurationChanged, d.Changed())
-}
-
-// delayUnsettled waits a short time if the node's configuration is current. Without it, nodes would poll in a tight loop
-// while the registry is not settled.
-func (s *Server) delayUnsettled(ctx context.Context, p message.Poll) {
-	c, changed := s.history.latest()
-	if c == nil || int(c.Revision()) > p.Revision {
-		return
+	if s.waitForEither(ctx, wait, configurationChanged, d.Changed()) {
+		s.waitForEither(ctx, coalesceTime, nil, nil)
 	}
-	s.waitForEither(ctx, unsettledWait, changed, nil)
 }
 
-// waitForEither returns when one of two channels is closed, the waiting time is over or the context ends.
-func (s *Server) waitForEither(ctx context.Context, wait time.Duration, a, b <-chan struct{}) {
+// waitForEither returns when one of two channels is closed, the waiting time is over or the context ends, and reports whether
+// it was a channel.
+func (s *Server) waitForEither(ctx context.Context, wait time.Duration, a, b <-chan struct{}) bool {
 	over := make(chan struct{})
 	cancel := s.clock.AfterFunc(wait, func() { close(over) })
 	defer cancel()
@@ -134,45 +157,61 @@
 	case <-ctx.Done():
 	case <-over:
 	case <-a:
+		return true
 	case <-b:
+		return true
 	}
+	return false
+}
+
+// handleControls handles figpier.MethodControls.
+func (s *Server) handleControls(context.Context, figpier.Decode) (any, error) {
+	return message.ControlsAnswer{Controls: s.controls()}, nil
 }
 
-func (s *Server) answer(p message.Poll, full bool) *message.PollAnswer {
+// controls returns the wire forms of the control instances that this one knows, itself included.
+func (s *Server) controls() []message.ControlPlace {
+	all := []message.ControlPlace{}
+	for _, c := range s.exchange.Controls() {
+		all = append(all, message.ControlPlace{
+			Address:    c.Address(),
+			DataCentre: string(c.DataCentre()),
+			Region:     string(c.Region()),
+		})
+	}
+	return all
+}
+
+func (s *Server) answer(p message.Poll, full, settled bool) *message.PollAnswer {
 	// Read the age before the configuration, so that the configuration is at least as new as the age says.
 	age := s.log.QuorumAge(s.clock.Now())
 	a := &message.PollAnswer{
 		QuorumAgeMillis: int(min(age, maxReportedAge).Milliseconds()) + 1,
 		Registry:        s.registry.ID(),
 		Full:            full,
-		Settled:         s.registry.Settled(s.clock.Now()),
+		Settled:         settled,
 		Nodes:           s.registry.Count(),
-		Controls:        []message.ControlPlace{},
-	}
-	for _, c := range s.exchange.Controls() {
-		a.Controls = append(a.Controls, message.ControlPlace{
-			Address:    c.Address(),
-			DataCentre: string(c.DataCentre()),
-			Region:     string(c.Region()),
-		})
+		Controls:        s.controls(),
 	}
 	s.addMembers(a, p)
 	s.addConfiguration(a, p)
 	return a
 }
 
-// addMembers adds the changed members of the services that the node follows, and all removed members.
+// addMembers adds the changed members of the services that the node follows, and the removed members unless the node discards
+// all that are not listed.
 func (s *Server) addMembers(a *message.PollAnswer, p message.Poll) {
 	d := s.registry.Since(uint64(p.MemberVersion))
 	a.MemberVersion = int(d.Version())
-	followed := figpier.NewSet(p.Services...)
-	members, gone := codec.FromMembers(d)
-	for _, m := range members {
-		if followed.Has(m.Service) {
-			a.Members = append(a.Members, m)
-		}
+	for _, m := range followedMembers(d.Members(), p.Services) {
+		a.Members = append(a.Members, codec.FromMember(m))
+	}
+	if a.Full && a.Settled {
+		return
+	}
+	for _, id := range d.Removed() {
+		a.Gone = append(a.Gone, string(id))
 	}
-	a.Gone = gone
 }
 
 // addConfiguration adds what changed since the node's revision, as a delta if the history reaches back that far and as a
@@ -186,7 +225,7 @@
 	if int(c.Revision()) <= p.Revision {
 		return
 	}
-	if d, ok := s.history.since(figpier.Revision(p.Revision)); ok && p.Revision > 0 {
+	if d, ok := s.history.since(figpier.Revision(p.Revision), nodeTable(p)); ok && p.Revision > 0 {
 		a.Delta = d
 		a.Revision = d.Changed.Revision
 		return
@@ -194,3 +233,11 @@
 	w := codec.FromConfiguration(c)
 	a.Configuration = &w
 }
+
+// nodeTable returns the number of the routing table that the polling node has, 0 for none.
+func nodeTable(p message.Poll) uint64 {
+	if p.Table == nil || *p.Table < 0 {
+		return 0
+	}
+	return uint64(*p.Table)
+}
--- /dev/null
+++ b/internal/control/subscription/server_test.go
@@ -0,0 +1,73 @@
+package subscription
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/figpier/figpier"
+	"github.com/figpier/figpier/internal/kernel/system"
+	"github.com/figpier/figpier/internal/wire/codec"
+	"github.com/figpier/figpier/internal/wire/message"
+)
+
+// fakeRegistry implements the parts of figpier.Registry that answer polls.
+type fakeRegistry struct {
+	figpier.Registry
+	id      string
+	settled bool
+	members []*figpier.Member
+}
+
+func (r *fakeRegistry) ID() string             { return r.id }
+func (r *fakeRegistry) Settled(time.Time) bool { return r.settled }
+func (r *fakeRegistry) Since(uint64) figpier.MemberDelta {
+	return figpier.NewMemberDelta(figpier.MemberDeltaConfig{Version: 7, Members: r.members})
+}
+
+func newMember(instance string, s figpier.UpstreamService, sequence uint64) *figpier.Member {
+	return figpier.NewMember(figpier.MemberConfig{Instance: figpier.InstanceID(instance), Service: s, Sequence: sequence})
+}
+
+// TestNodeWithTheSameMembersIsNotSentThemAgain guards against a full list for each node that changes its control instance, or
+// whose control instance restarts: versions of registries can't be compared, but the digests of the lists can.
+func TestNodeWithTheSameMembersIsNotSentThemAgain(t *testing.T) {
+	a, b := newMember("a/1", "litters", 3), newMember("b/1", "vets", 1)
+	other := newMember("c/1", "walkers", 1)
+	for _, c := range []struct {
+		name     string
+		settled  bool
+		partial  bool
+		registry string
+		held     []*figpier.Member
+		full     bool
+	}{
+		{name: "known registry", settled: true, registry: "here", full: false},
+		{name: "known registry that has not settled", registry: "here", partial: true, full: false},
+		{name: "another registry, same members in another order", settled: true, registry: "there", held: []*figpier.Member{b, a}, full: false},
+		{name: "another registry, a member is missing", settled: true, registry: "there", held: []*figpier.Member{a}, full: true},
+		{name: "another registry, a former member", settled: true, registry: "there", held: []*figpier.Member{a, b, newMember("a/0", "litters", 9)}, full: true},
+		{name: "another registry, an older announcement", settled: true, registry: "there", held: []*figpier.Member{newMember("a/1", "litters", 2), b}, full: true},
+		{name: "another registry that has not settled", registry: "there", held: []*figpier.Member{a, b}, full: true},
+		{name: "settled since the list was sent, same members", settled: true, partial: true, registry: "here", held: []*figpier.Member{a, b}, full: false},
+		{name: "settled since the list was sent, a former member", settled: true, partial: true, registry: "here", held: []*figpier.Member{a, b, newMember("d/1", "vets", 1)}, full: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New()
+			s.clock = system.Clock{}
+			s.registry = &fakeRegistry{id: "here", settled: c.settled, members: []*figpier.Member{a, b, other}}
+			digest := codec.FormatMembersDigest(c.held)
+			p := message.Poll{Registry: c.registry, MemberVersion: 2, Partial: &c.partial, MembersDigest: &digest, Services: []string{"litters", "vets"}}
+			assert.Equal(t, s.needsAllMembers(&p, c.settled), c.full)
+			switch {
+			case c.full:
+				assert.Equal(t, p.MemberVersion, 0)
+			case c.registry != "here" || c.partial && c.settled:
+				assert.Equal(t, p.MemberVersion, 7, "the node goes on from this registry's version")
+			default:
+				assert.Equal(t, p.MemberVersion, 2)
+			}
+		})
+	}
+}
--- a/internal/link/jsonrpc/counts.go
+++ b/internal/link/jsonrpc/counts.go
@@ -2,51 +2,64 @@
 
 import (
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/figpier/figpier"
+	"github.com/figpier/figpier/internal/link/bytecount"
 )
 
-// byteCounts counts the bytes that a messenger sent and received, without the overhead of TLS.
+// byteCounts counts the bytes of the requests that this process sends and of their answers, so that each byte between two
+// processes is counted at one of them.
 type byteCounts struct {
-	sent     atomic.Int64
-	received atomic.Int64
+	directory figpier.Directory
+	// link counts the bytes on the wire of the connections that this process opened, without the overhead of TLS.
+	link bytecount.Counts
+
+	mu sync.Mutex // guards methods
+	// methods counts the bytes of messages, before compression.
+	methods map[figpier.Method]*bytecount.Counts
 }
 
-// register adds the counts to the metrics of the process, if it exposes any.
-func (b *byteCounts) register(d figpier.Directory) {
+// start adds the counts to the metrics of the process, if it exposes any.
+func (b *byteCounts) start(d figpier.Directory) {
+	b.directory = d
+	b.methods = map[figpier.Method]*bytecount.Counts{}
+	b.link.Start(d, "message_link_bytes", "")
 	c, err := figpier.FindCounters(d)
 	if err != nil {
 		return
 	}
-	c.Gauge("message_sent_bytes", func() float64 { return float64(b.sent.Load()) })
-	c.Gauge("message_received_bytes", func() float64 { return float64(b.received.Load()) })
+	c.Gauge("message_sent_bytes", func() float64 { n, _ := b.link.Total(); return float64(n) })
+	c.Gauge("message_received_bytes", func() float64 { _, n := b.link.Total(); return float64(n) })
+}
+
+// add counts a request of a method and its answer.
+func (b *byteCounts) add(m figpier.Method, address string, sent, received int) {
+	b.mu.Lock()
+	c, ok := b.methods[m]
+	if !ok {
+		c = &bytecount.Counts{}
+		c.Start(b.directory, "message_bytes", `method="`+string(m)+`"`)
+		b.methods[m] = c
+	}
+	b.mu.Unlock()
+	c.Add(address, sent, received)
 }
 
 // writeTimeout bounds one write to a connection.
 const writeTimeout = 2 * time.Second
 
-// countedConn is a connection that counts its bytes and bounds its writes.
-type countedConn struct {
+// boundedConn is a connection that bounds its writes.
+type boundedConn struct {
 	net.Conn
-	counts *byteCounts
-}
-
-// Read implements net.Conn.
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.counts.received.Add(int64(n))
-	return n, err
 }
 
 // Write implements net.Conn.
-func (c countedConn) Write(p []byte) (int, error) {
+func (c boundedConn) Write(p []byte) (int, error) {
 	// If the other process no longer reads, the buffers fill up; the writers must not be blocked for longer than this.
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Write(p)
-	c.counts.sent.Add(int64(n))
-	return n, err
+	return c.Conn.Write(p)
 }
--- a/internal/link/jsonrpc/messenger.go
+++ b/internal/link/jsonrpc/messenger.go
@@ -40,6 +40,8 @@
 	ClientTLS *tls.Config
 	// AnswerTimeout bounds a request whose context has no deadline.
 	AnswerTimeout time.Duration
+	// Compress compresses the connections that this messenger opens. Each takes some 2 MB at both ends for it.
+	Compress bool
 }
 
 // Messenger implements figpier.Messenger with one connection to each address. Both ends of a connection may send requests.
@@ -82,7 +84,7 @@
 // Start implements figpier.Service.
 func (m *Messenger) Start(ctx context.Context, d figpier.Directory) error {
 	m.ctx = ctx
-	m.bytes.register(d)
+	m.bytes.start(d)
 	if m.config.Address == "" {
 		return nil
 	}
@@ -136,7 +138,7 @@
 
 // serve answers the requests on an accepted connection until it is closed, each in a goroutine of its own.
 func (m *Messenger) serve(ctx context.Context, c net.Conn) {
-	stream := jsonrpc2.NewBufferedStream(countedConn{Conn: c, counts: &m.bytes}, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(&acceptedConn{Conn: boundedConn{c}}, jsonrpc2.VarintObjectCodec{})
 	h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(m.dispatch))
 	conn := jsonrpc2.NewConn(ctx, stream, h, jsonrpc2.SetLogger(log.Default()))
 	m.mu.Lock()
@@ -183,9 +185,18 @@
 	if err != nil {
 		return err
 	}
-	err = conn.Call(ctx, string(method), message, answer)
+	question, err := json.Marshal(message)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	var result json.RawMessage
+	err = conn.Call(ctx, string(method), json.RawMessage(question), &result)
+	m.bytes.add(method, address, len(question), len(result))
+	if err == nil && len(result) == 0 {
+		return Error.New("%s to %s: an answer without content", method, address)
+	}
 	if err == nil {
-		return nil
+		return Error.Wrap(json.Unmarshal(result, answer))
 	}
 	var remote *jsonrpc2.Error
 	if errors.As(err, &remote) {
@@ -207,9 +218,18 @@
 	}
 	c, err := dial(ctx, address, m.config.ClientTLS)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, figpier.NewUnreachedError(address, err)
+	}
+	c = boundedConn{m.bytes.link.Conn(address, c)}
+	if !m.config.Compress {
+		return m.addOutgoing(address, c), nil
+	}
+	compressed, err := openCompressed(c)
+	if err != nil {
+		_ = c.Close()
+		return nil, figpier.NewUnreachedError(address, err)
 	}
-	return m.addOutgoing(address, c), nil
+	return m.addOutgoing(address, compressed), nil
 }
 
 func dial(ctx context.Context, address string, t *tls.Config) (net.Conn, error) {
@@ -228,7 +248,7 @@
 		_ = c.Close()
 		return other
 	}
-	stream := jsonrpc2.NewBufferedStream(countedConn{Conn: c, counts: &m.bytes}, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
 	h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(m.dispatch))
 	conn := jsonrpc2.NewConn(m.ctx, stream, h, jsonrpc2.SetLogger(log.Default()))
 	m.outgoing[address] = conn
--- a/internal/traffic/configview/state.go
+++ b/internal/traffic/configview/state.go
@@ -25,6 +25,12 @@
 	// registry and memberVersion identify the last member list received; an empty registry requests all members.
 	registry      string
 	memberVersion int
+	// partial means that the registry had not settled, so that former members may be in the list.
+	partial bool
+	// membersDigest is the hash of the members.
+	membersDigest string
+	// resync requests the whole configuration, because the last change could not be applied.
+	resync bool
 	// nodes is the number of nodes of all services.
 	nodes int
 	// control is the message address of the control instance that answered last.
@@ -70,12 +76,13 @@
 }
 
 // applyAnswer applies an answer and reports whether it brought a newer configuration. An answer with a lower revision
-// neither replaces the configuration nor confirms it.
-func (s *state) applyAnswer(a *pollAnswered) (newer bool) {
+// neither replaces the configuration nor confirms it. After an error the next poll requests the whole configuration.
+func (s *state) applyAnswer(a *pollAnswered) (newer bool, err error) {
 	s.control, s.pollSentAt = a.control, a.sent
-	next, ok := s.nextConfiguration(a.answer)
-	if !ok {
-		return false
+	next, err := s.nextConfiguration(a.answer)
+	s.resync = err != nil
+	if err != nil {
+		return false, err
 	}
 	newer = next != s.configuration
 	s.configuration = next
@@ -85,24 +92,22 @@
 		s.confirmed = confirmed
 	}
 	s.applyMembers(a)
-	return newer
+	return newer, nil
 }
 
-// nextConfiguration returns the configuration after an answer, or false when the answer cannot be decoded or applied.
-func (s *state) nextConfiguration(a message.PollAnswer) (*figpier.Configuration, bool) {
+// nextConfiguration returns the configuration after an answer. It fails if the answer can't be decoded or applied.
+func (s *state) nextConfiguration(a message.PollAnswer) (*figpier.Configuration, error) {
 	current := s.configuration
 	if a.Revision <= int(current.Revision()) {
-		return current, true
+		return current, nil
 	}
 	switch {
 	case a.Configuration != nil:
-		c, err := codec.ToConfiguration(*a.Configuration)
-		return c, err == nil
+		return codec.ToConfiguration(*a.Configuration)
 	case a.Delta != nil && a.Delta.Base <= int(current.Revision()):
-		c, err := codec.ApplyDelta(current, *a.Delta)
-		return c, err == nil
+		return codec.ApplyDelta(current, *a.Delta)
 	}
-	return current, true
+	return current, nil
 }
 
 // applyMembers applies the members of an answer. It marks the followed services as loaded only if the poll asked for all of
@@ -125,10 +130,8 @@
 	if !complete {
 		return
 	}
-	if a.answer.Settled {
-		// A registry that has not settled is asked for all its members again.
-		s.registry = a.answer.Registry
-	}
+	s.registry = a.answer.Registry
+	s.partial = !a.answer.Settled
 	s.memberVersion = a.answer.MemberVersion
 	s.loaded = s.followed
 }
@@ -138,14 +141,20 @@
 	if a.Settled {
 		s.nodes = a.Nodes
 	}
-	s.controls = nil
-	for _, c := range a.Controls {
-		s.controls = append(s.controls, figpier.NewControlPlace(figpier.ControlPlaceConfig{
+	s.controls = controlPlaces(a.Controls)
+}
+
+// controlPlaces converts the list of control instances in an answer.
+func controlPlaces(list []message.ControlPlace) []figpier.ControlPlace {
+	var all []figpier.ControlPlace
+	for _, c := range list {
+		all = append(all, figpier.NewControlPlace(figpier.ControlPlaceConfig{
 			Address:    c.Address,
 			DataCentre: figpier.DataCentre(c.DataCentre),
 			Region:     figpier.Region(c.Region),
 		}))
 	}
+	return all
 }
 
 // notifyWaiters closes the channels of those that wait for the members of a loaded service. It is called after the members
@@ -166,9 +175,12 @@
 func (s *state) newSnapshot() *snapshot {
 	published := s.snapshot
 	published.members = map[figpier.UpstreamService][]*figpier.Member{}
+	all := make([]*figpier.Member, 0, len(s.members))
 	for _, m := range s.members {
 		published.members[m.Service()] = append(published.members[m.Service()], m)
+		all = append(all, m)
 	}
+	published.membersDigest = codec.FormatMembersDigest(all)
 	for _, list := range published.members {
 		slices.SortFunc(list, func(a, b *figpier.Member) int { return cmp.Compare(a.Instance(), b.Instance()) })
 	}
--- a/internal/traffic/configview/state_test.go
+++ b/internal/traffic/configview/state_test.go
@@ -12,6 +12,13 @@
 	"github.com/figpier/figpier/internal/wire/message"
 )
 
+// apply applies an answer that must be applicable.
+func apply(t *testing.T, s *state, a *pollAnswered) {
+	t.Helper()
+	_, err := s.applyAnswer(a)
+	assert.NilError(t, err)
+}
+
 func answerAt(revision int) message.PollAnswer {
 	w := codec.FromConfiguration(figpier.NewConfiguration(figpier.ConfigurationConfig{Revision: figpier.Revision(revision)}))
 	return message.PollAnswer{Revision: revision, Configuration: &w}
@@ -20,11 +27,15 @@
 func TestOlderConfigurationIsNotAppliedAndConfirmsNothing(t *testing.T) {
 	s := newState()
 	epoch := time.Unix(0, 0)
-	assert.Assert(t, s.applyAnswer(&pollAnswered{sent: epoch, answer: answerAt(5)}))
+	newer, err := s.applyAnswer(&pollAnswered{sent: epoch, answer: answerAt(5)})
+	assert.NilError(t, err)
+	assert.Assert(t, newer)
 	assert.Equal(t, s.configuration.Revision(), figpier.Revision(5))
 	assert.Equal(t, s.confirmed, epoch)
 
-	assert.Assert(t, !s.applyAnswer(&pollAnswered{sent: epoch.Add(time.Second), answer: answerAt(4)}))
+	newer, err = s.applyAnswer(&pollAnswered{sent: epoch.Add(time.Second), answer: answerAt(4)})
+	assert.NilError(t, err)
+	assert.Assert(t, !newer)
 	assert.Equal(t, s.configuration.Revision(), figpier.Revision(5))
 	assert.Equal(t, s.confirmed, epoch)
 }
@@ -34,7 +45,7 @@
 	sent := time.Unix(100, 0)
 	a := answerAt(1)
 	a.QuorumAgeMillis = 1500
-	s.applyAnswer(&pollAnswered{sent: sent, answer: a})
+	apply(t, s, &pollAnswered{sent: sent, answer: a})
 	assert.Equal(t, s.confirmed, sent.Add(-1500*time.Millisecond))
 }
 
@@ -43,12 +54,12 @@
 	e := &followRequested{service: "b", loaded: make(chan struct{})}
 	s.follow(e)
 	m := message.Member{Instance: "b1", Service: "b"}
-	s.applyAnswer(&pollAnswered{answer: message.PollAnswer{Full: true, Settled: true, Registry: "r"}})
+	apply(t, s, &pollAnswered{answer: message.PollAnswer{Full: true, Settled: true, Registry: "r"}})
 	s.notifyWaiters()
 	assert.Assert(t, !s.loaded.Has("b"))
 
 	asked := figpier.NewSet[figpier.UpstreamService]("b")
-	s.applyAnswer(&pollAnswered{followed: asked, answer: message.PollAnswer{Full: true, Settled: true, Registry: "r", Members: []message.Member{m}}})
+	apply(t, s, &pollAnswered{followed: asked, answer: message.PollAnswer{Full: true, Settled: true, Registry: "r", Members: []message.Member{m}}})
 	s.notifyWaiters()
 	<-e.loaded
 	assert.Equal(t, len(s.newSnapshot().members["b"]), 1)
@@ -59,6 +70,6 @@
 	sent := time.Unix(100, 0)
 	a := answerAt(1)
 	a.QuorumAgeMillis = int(time.Duration(math.MaxInt64).Milliseconds()) + 1
-	s.applyAnswer(&pollAnswered{sent: sent, answer: a})
+	apply(t, s, &pollAnswered{sent: sent, answer: a})
 	assert.Assert(t, s.confirmed.IsZero(), "%v", s.confirmed)
 }
--- a/internal/traffic/configview/view.go
+++ b/internal/traffic/configview/view.go
@@ -1,14 +1,18 @@
 package configview
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"io"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/zeebo/xxh3"
 
 	"github.com/figpier/figpier"
 	"github.com/figpier/figpier/internal/wire/codec"
@@ -24,6 +28,8 @@
 	DataCentre figpier.DataCentre
 	// Region is the region of that data centre.
 	Region figpier.Region
+	// Seed differs from node to node. It orders control instances that are equally near.
+	Seed uint64
 	// MaxQuorumAge is how long ago a control instance may last have known that it is current before the next one is polled,
 	// Freshness when 0.
 	MaxQuorumAge time.Duration
@@ -42,12 +48,14 @@
 	Log *logrus.Entry
 }
 
-// otherRegionDistance is the distance of a control instance in another region.
-const otherRegionDistance = 2
-
-// nearerRetryInterval is how long a more distant control instance is polled before the nearest one is tried again. Each
-// try of an unreachable one costs a poll timeout.
-const nearerRetryInterval = 5 * time.Second
+// Times after which a control instance that was left is tried again, when a more distant one is polled.
+const (
+	// silentRetryInterval is for one that did not answer; each try costs a poll timeout.
+	silentRetryInterval = 5 * time.Second
+	// behindRetryInterval is for one that answered at once that it is behind, or refused the connection, as it does while it
+	// restarts.
+	behindRetryInterval = time.Second
+)
 
 // noOtherPollAge is reported when no other control instance was polled. It is far above the time for which a control
 // instance counts a node that has stopped polling it.
@@ -65,9 +73,10 @@
 	ownMember       atomic.Pointer[figpier.Member]
 	repollRequested chan struct{}
 
-	// lastFailure and lastPoll hold the last time by message address. Only the polling goroutine uses them.
-	lastFailure map[string]time.Time
-	lastPoll    map[string]time.Time
+	// retryAt is when a control instance that was left may be polled again while a more distant one answers, and lastPoll is
+	// when one may last have received a poll, both by message address. Only the polling goroutine uses them.
+	retryAt  map[string]time.Time
+	lastPoll map[string]time.Time
 
 	mu          sync.Mutex
 	subscribers []func(*figpier.Configuration)
@@ -86,7 +95,13 @@
 	if c.MaxQuorumAge == 0 {
 		c.MaxQuorumAge = c.Freshness
 	}
-	v := &View{config: c, repollRequested: make(chan struct{}, 1), lastFailure: map[string]time.Time{}, lastPoll: map[string]time.Time{}, state: newState()}
+	v := &View{
+		config:          c,
+		repollRequested: make(chan struct{}, 1),
+		retryAt:         map[string]time.Time{},
+		lastPoll:        map[string]time.Time{},
+		state:           newState(),
+	}
 	v.published.Store(v.state.newSnapshot())
 	v.ownMember.Store(figpier.NewMember(figpier.MemberConfig{}))
 	return v
@@ -137,6 +152,24 @@
 // LastPoll implements figpier.ConfigurationView.
 func (v *View) LastPoll() time.Time { return v.published.Load().pollSentAt }
 
+// Distance implements figpier.DistanceSource for control instances and for the members that the node follows.
+func (v *View) Distance(address string) figpier.Distance {
+	s := v.published.Load()
+	for _, p := range s.controls {
+		if p.Address() == address {
+			return v.distance(p)
+		}
+	}
+	for _, members := range s.members {
+		for _, m := range members {
+			if m.PeerAddress() == address {
+				return figpier.DistanceBetween(v.config.DataCentre, v.config.Region, m.DataCentre(), m.Region())
+			}
+		}
+	}
+	return figpier.DistanceUnknown
+}
+
 // Subscribe implements figpier.ConfigurationView.
 func (v *View) Subscribe(f func(*figpier.Configuration)) {
 	v.mu.Lock()
@@ -182,42 +215,104 @@
 	}
 }
 
-// pollLoop polls control instances in the order of preference, each for as long as it answers.
+// pollLoop polls control instances in the order of preference, each until it fails or a nearer one is known.
 func (v *View) pollLoop(ctx context.Context) {
+	if len(v.config.Controls) == 0 {
+		v.discover(ctx)
+	}
 	for ctx.Err() == nil {
-		for i, address := range v.pollOrder() {
-			v.pollInstance(ctx, address, i == 0)
+		if !v.pollAny(ctx) {
+			v.waitRetryPause(ctx)
+		}
+	}
+}
+
+// pollAny polls the control instances one after the other, and returns true once one was left for a nearer one.
+func (v *View) pollAny(ctx context.Context) (nearer bool) {
+	for _, address := range v.pollOrder() {
+		if v.pollInstance(ctx, address) {
+			return true
+		}
+	}
+	return false
+}
+
+// discover asks the seeds for the places of the control instances, so that the node fetches the configuration and the members
+// from a near one. It returns once one of them has answered, or all have failed.
+func (v *View) discover(ctx context.Context) {
+	for _, address := range v.pollOrder() {
+		bounded, cancel := context.WithTimeout(ctx, v.config.AnswerTimeout)
+		var a message.ControlsAnswer
+		err := v.messenger.Request(bounded, address, figpier.MethodControls, message.ControlsAsk{}, &a)
+		cancel()
+		if err != nil {
+			v.config.Log.WithError(err).WithField("control", address).Info("a seed does not tell the control instances")
+			continue
 		}
-		v.waitRetryPause(ctx)
+		e := &controlsLearned{controls: controlPlaces(a.Controls), applied: make(chan struct{})}
+		if v.control.Post(e) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-e.applied:
+		}
+		return
 	}
 }
 
-// pollInstance polls a control instance until it fails, or for nearerRetryInterval if there is a nearer one.
-func (v *View) pollInstance(ctx context.Context, address string, nearest bool) {
-	deadline := v.clock.Now().Add(nearerRetryInterval)
+// pollInstance polls a control instance until it fails, or until a nearer one is known, which it reports.
+func (v *View) pollInstance(ctx context.Context, address string) (nearer bool) {
 	// The first poll asks for an immediate answer, so that an unreachable instance is detected early.
 	wait := time.Duration(0)
-	for v.poll(ctx, address, wait) && (nearest || v.clock.Now().Before(deadline)) {
+	for {
+		retryInterval, ok := v.poll(ctx, address, wait)
+		if !ok {
+			v.retryAt[address] = v.clock.Now().Add(retryInterval)
+			return false
+		}
+		if v.knowsNearer(address) {
+			return true
+		}
 		wait = v.config.PollWait
 	}
-	if ctx.Err() == nil {
-		v.lastFailure[address] = v.clock.Now()
+}
+
+// knowsNearer reports whether there is a control instance to poll that is nearer than the one at an address. The distance of a
+// seed that no control instance has listed is not known, so that any other is preferred to it.
+func (v *View) knowsNearer(address string) bool {
+	if len(v.config.Controls) > 0 {
+		return false
 	}
+	now := v.clock.Now()
+	controls := v.published.Load().controls
+	at := slices.IndexFunc(controls, func(p figpier.ControlPlace) bool { return p.Address() == address })
+	return slices.ContainsFunc(controls, func(p figpier.ControlPlace) bool {
+		return (at < 0 || v.distance(p) < v.distance(controls[at])) && !now.Before(v.retryAt[p.Address()])
+	})
 }
 
-// pollOrder returns the message addresses of the control instances in the order in which to poll them.
+// pollOrder returns the message addresses of the control instances in the order in which to poll them: by preference, and
+// those of the same preference in an order of this node's own, so that nodes spread over them.
 func (v *View) pollOrder() []string {
 	if len(v.config.Controls) > 0 {
 		return v.config.Controls
 	}
 	instances := slices.Clone(v.published.Load().controls)
 	now := v.clock.Now()
-	slices.SortStableFunc(instances, func(a, b figpier.ControlPlace) int { return v.preference(now, a) - v.preference(now, b) })
+	slices.SortFunc(instances, func(a, b figpier.ControlPlace) int {
+		return cmp.Or(
+			cmp.Compare(v.preference(now, a), v.preference(now, b)),
+			cmp.Compare(v.spreadOrder(a.Address()), v.spreadOrder(b.Address())),
+		)
+	})
 	var addresses []string
 	for _, p := range instances {
 		addresses = append(addresses, p.Address())
 	}
-	for _, a := range v.seeds.Seeds() {
+	seeds := slices.Clone(v.seeds.Seeds())
+	slices.SortFunc(seeds, func(a, b string) int { return cmp.Compare(v.spreadOrder(a), v.spreadOrder(b)) })
+	for _, a := range seeds {
 		if !slices.Contains(addresses, a) {
 			addresses = append(addresses, a)
 		}
@@ -225,24 +320,22 @@
 	return addresses
 }
 
-// preference orders control instances by distance; those that failed within nearerRetryInterval come last.
+// spreadOrder returns a number for an address that differs from node to node.
+func (v *View) spreadOrder(address string) uint64 {
+	return xxh3.HashStringSeed(address, v.config.Seed)
+}
+
+// preference orders control instances by distance; those that failed and are not due to be tried again come last.
 func (v *View) preference(now time.Time, p figpier.ControlPlace) int {
-	at, failed := v.lastFailure[p.Address()]
-	if failed && now.Sub(at) < nearerRetryInterval {
-		return otherRegionDistance + 1 + v.distance(p)
+	if now.Before(v.retryAt[p.Address()]) {
+		return len(figpier.Distances) + int(v.distance(p))
 	}
-	return v.distance(p)
+	return int(v.distance(p))
 }
 
-// distance returns 0 for the own data centre, 1 for the own region, and otherRegionDistance elsewhere.
-func (v *View) distance(p figpier.ControlPlace) int {
-	switch {
-	case p.DataCentre() == v.config.DataCentre:
-		return 0
-	case p.Region() == v.config.Region:
-		return 1
-	}
-	return otherRegionDistance
+// distance returns the distance of a control instance.
+func (v *View) distance(p figpier.ControlPlace) figpier.Distance {
+	return figpier.DistanceBetween(v.config.DataCentre, v.config.Region, p.DataCentre(), p.Region())
 }
 
 func (v *View) waitRetryPause(ctx context.Context) {
@@ -255,9 +348,10 @@
 	}
 }
 
-// poll sends one poll and waits until its answer is applied. It returns false if the control instance did not answer, or
-// has not known for MaxQuorumAge that it is current. A poll that repoll ended counts as answered.
-func (v *View) poll(ctx context.Context, address string, wait time.Duration) bool {
+// poll sends one poll and waits until its answer is applied. It returns false, and how long to leave the control instance, if
+// that one did not answer, sent a configuration that can't be applied, or has not known for MaxQuorumAge that it is current. A poll
+// that repoll ended counts as answered.
+func (v *View) poll(ctx context.Context, address string, wait time.Duration) (retryInterval time.Duration, ok bool) {
 	pollCtx, cancel := context.WithTimeout(ctx, wait+v.config.AnswerTimeout)
 	defer cancel()
 	done := make(chan struct{})
@@ -276,32 +370,49 @@
 	known := v.published.Load()
 	p := v.newPoll(known, wait)
 	p.ElsewhereMillis = int(v.sinceOtherPoll(sent, address).Milliseconds())
-	v.lastPoll[address] = sent
 	var a message.PollAnswer
-	if err := v.messenger.Request(pollCtx, address, figpier.MethodPoll, p, &a); err != nil {
+	err := v.messenger.Request(pollCtx, address, figpier.MethodPoll, p, &a)
+	unreached := (*figpier.UnreachedError)(nil)
+	if !errors.As(err, &unreached) {
+		v.lastPoll[address] = sent
+	}
+	if err != nil {
 		if repolled.Load() && ctx.Err() == nil {
-			return true
+			return 0, true
 		}
 		v.config.Log.WithError(err).WithField("control", address).Warn("a control instance does not answer")
-		return false
+		return retryIntervalFor(err), false
 	}
 	e := &pollAnswered{sent: sent, control: address, followed: known.followed, answer: a, applied: make(chan struct{})}
 	if err := v.control.Post(e); err != nil {
-		return false
+		return 0, false
 	}
 	select {
 	case <-ctx.Done():
+		return 0, false
 	case <-e.applied:
 	}
+	line := v.config.Log.WithFields(logrus.Fields{"control": address, "quorumAgeMillis": a.QuorumAgeMillis, "revision": a.Revision})
+	if e.err != nil {
+		line.WithError(e.err).Warn("a configuration can't be applied: the whole one is requested")
+		return behindRetryInterval, false
+	}
 	if a.QuorumAgeMillis >= int(v.config.MaxQuorumAge.Milliseconds()) {
-		line := v.config.Log.WithFields(logrus.Fields{"control": address, "quorumAgeMillis": a.QuorumAgeMillis})
 		line.Warn("a control instance is behind")
-		return false
+		return behindRetryInterval, false
 	}
-	return true
+	return 0, true
 }
 
-// sinceOtherPoll returns how long ago a control instance at any other address was polled.
+// retryIntervalFor returns how long to leave a control instance after a failed poll.
+func retryIntervalFor(err error) time.Duration {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return behindRetryInterval
+	}
+	return silentRetryInterval
+}
+
+// sinceOtherPoll returns how long ago a control instance at any other address may have received a poll.
 func (v *View) sinceOtherPoll(now time.Time, address string) time.Duration {
 	age := noOtherPollAge
 	for a, at := range v.lastPoll {
@@ -320,6 +431,17 @@
 		Services:      []string{},
 		WaitMillis:    int(wait.Milliseconds()),
 		Member:        codec.FromMember(v.ownMember.Load()),
+		MembersDigest: &s.membersDigest,
+	}
+	if t := s.configuration.Table(); t != nil {
+		number := int(t.Number())
+		p.Table = &number
+	}
+	if s.partial {
+		p.Partial = &s.partial
+	}
+	if s.resync {
+		p.Revision, p.Table = 0, nil
 	}
 	for _, service := range s.followed.Values() {
 		p.Services = append(p.Services, string(service))
@@ -334,11 +456,22 @@
 	followed figpier.Set[figpier.UpstreamService]
 	answer   message.PollAnswer
 	applied  chan struct{}
+	// err is the error of applying the answer; it is set before applied is closed.
+	err error
 }
 
 // Target implements figpier.Event.
 func (*pollAnswered) Target() figpier.ServiceName { return figpier.ConfigurationService }
 
+// controlsLearned is the event of a seed's answer.
+type controlsLearned struct {
+	controls []figpier.ControlPlace
+	applied  chan struct{}
+}
+
+// Target implements figpier.Event.
+func (*controlsLearned) Target() figpier.ServiceName { return figpier.ConfigurationService }
+
 // followRequested is the event of a traffic thread's request for the members of a service.
 type followRequested struct {
 	service figpier.UpstreamService
@@ -357,8 +490,11 @@
 		return
 	case *pollAnswered:
 		defer close(e.applied)
-		newer = v.state.applyAnswer(e)
+		newer, e.err = v.state.applyAnswer(e)
 		v.startStaleTimer(now)
+	case *controlsLearned:
+		defer close(e.applied)
+		v.state.controls = e.controls
 	case *followRequested:
 		v.state.follow(e)
 		defer v.repoll()
--- a/internal/traffic/forward/forwarder.go
+++ b/internal/traffic/forward/forwarder.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/figpier/figpier"
+	"github.com/figpier/figpier/internal/link/bytecount"
 	"github.com/figpier/figpier/internal/link/web"
 	"github.com/figpier/figpier/internal/policy/retrybudget"
 )
@@ -46,6 +47,8 @@
 	counters  figpier.Counters
 	log       figpier.RequestLog
 	transport *http.Transport
+	// bytes counts the bytes of the connections to other nodes.
+	bytes bytecount.Counts
 
 	mu          sync.Mutex // guards retries
 	retryBudget *retrybudget.Table
@@ -53,16 +56,18 @@
 
 // New returns a forwarder, to be started by the kernel.
 func New(c Config) *Forwarder {
-	return &Forwarder{
-		config: c,
-		transport: web.NewTransport(web.TransportConfig{
-			DialTimeout:           dialTimeout,
-			UnacknowledgedTimeout: unacknowledgedTimeout,
-			IdleTimeout:           idleTimeout,
-			IdleConnections:       maxIdleConnections,
-		}),
+	f := &Forwarder{
+		config:      c,
 		retryBudget: retrybudget.New(retrybudget.Config{Share: c.RetryShare, Window: c.RetryWindow, MinRetries: c.FreeRetries}),
 	}
+	f.transport = web.NewTransport(web.TransportConfig{
+		DialTimeout:           dialTimeout,
+		UnacknowledgedTimeout: unacknowledgedTimeout,
+		IdleTimeout:           idleTimeout,
+		IdleConnections:       maxIdleConnections,
+		Wrap:                  f.bytes.Conn,
+	})
+	return f
 }
 
 // Name implements figpier.Service.
@@ -92,6 +97,7 @@
 	if f.log, err = figpier.FindRequestLog(d); err != nil {
 		return err
 	}
+	f.bytes.Start(d, "request_link_bytes", "")
 	f.view.Subscribe(f.followServices)
 	return nil
 }
--- a/internal/wire/codec/configuration.go
+++ b/internal/wire/codec/configuration.go
@@ -223,7 +223,7 @@
 }
 
 // ApplyDelta returns a new configuration with the changes of a delta applied to c, which must be at the delta's base
-// revision or later.
+// revision or later. It fails if the delta changes another routing table than that of c.
 func ApplyDelta(c *figpier.Configuration, d message.ConfigurationDelta) (*figpier.Configuration, error) {
 	changed, err := ToConfiguration(d.Changed)
 	if err != nil {
@@ -246,5 +246,10 @@
 	if changed.Table() != nil {
 		next.Table = changed.Table()
 	}
+	if d.Table != nil {
+		if next.Table, err = ApplyTableChange(c.Table(), *d.Table); err != nil {
+			return nil, err
+		}
+	}
 	return figpier.NewConfiguration(next), nil
 }
--- a/internal/wire/codec/edit.go
+++ b/internal/wire/codec/edit.go
@@ -5,8 +5,9 @@
 	"github.com/figpier/figpier/internal/wire/message"
 )
 
-// FromEdit returns the wire form of an edit, without the fields that are not set.
-func FromEdit(e *figpier.Edit) message.Edit {
+// FromEdit returns the wire form of an edit, without the fields that are not set. A routing table is encoded as the difference
+// from current if that is the table that the edit replaces.
+func FromEdit(e *figpier.Edit, current *figpier.Table) message.Edit {
 	m := message.Edit{
 		Operation:   string(e.Operation()),
 		Kind:        string(e.Kind()),
@@ -23,15 +24,35 @@
 		k := FromKey(e.Key())
 		m.Key = &k
 	}
-	if e.Table() != nil {
-		t := FromTable(e.Table())
-		m.Table = &t
+	if e.Table() == nil {
+		return m
 	}
+	if d, ok := fromReplacement(e, current); ok {
+		m.TableDelta = &d
+		return m
+	}
+	t := FromTable(e.Table())
+	m.Table = &t
 	return m
 }
 
-// ToEdit converts an edit from its wire form. It fails if a key or a routing table in it is not valid.
-func ToEdit(m message.Edit) (*figpier.Edit, error) {
+// fromReplacement returns the difference between the table that an edit replaces and the new one. It returns false if current is
+// another table, or if the difference does not lead to the new table.
+func fromReplacement(e *figpier.Edit, current *figpier.Table) (message.TableDelta, bool) {
+	if current == nil || current.Number() != uint64(e.Base()) {
+		return message.TableDelta{}, false
+	}
+	d, err := FromTableChangeWithDocument(current, e.Table())
+	if err != nil {
+		return d, false
+	}
+	_, err = ApplyTableChangeWithDocument(current, d)
+	return d, err == nil
+}
+
+// ToEdit converts an edit from its wire form. It fails if a key or a routing table in it is not valid, or if its routing table is
+// a difference from another table than current.
+func ToEdit(m message.Edit, current *figpier.Table) (*figpier.Edit, error) {
 	c := figpier.EditConfig{
 		Operation:   figpier.OperationID(m.Operation),
 		Kind:        figpier.EditKind(m.Kind),
@@ -57,6 +78,13 @@
 		}
 		c.Table = t
 	}
+	if m.TableDelta != nil {
+		t, err := ApplyTableChangeWithDocument(current, *m.TableDelta)
+		if err != nil {
+			return nil, err
+		}
+		c.Table = t
+	}
 	return figpier.NewEdit(c), nil
 }
 
--- a/internal/wire/codec/member.go
+++ b/internal/wire/codec/member.go
@@ -1,6 +1,10 @@
 package codec
 
 import (
+	"strconv"
+
+	"github.com/zeebo/xxh3"
+
 	"github.com/figpier/figpier"
 	"github.com/figpier/figpier/internal/wire/message"
 )
@@ -35,6 +39,16 @@
 	})
 }
 
+// FormatMembersDigest returns a hash of the instances and sequence numbers of members in hexadecimal, which does not depend on
+// their order.
+func FormatMembersDigest(members []*figpier.Member) string {
+	var sum uint64
+	for _, m := range members {
+		sum += xxh3.HashString(string(m.Instance()) + " " + strconv.FormatUint(m.Sequence(), 10))
+	}
+	return formatDigest(sum)
+}
+
 // FromMembers returns the wire forms of a delta's added or changed members and the names of the removed ones.
 func FromMembers(d figpier.MemberDelta) (members []message.Member, removed []string) {
 	for _, m := range d.Members() {
--- a/internal/wire/message/messages.go
+++ b/internal/wire/message/messages.go
@@ -21,6 +21,39 @@
 	Priority *int `json:"priority,omitempty,omitzero" msgpack:"priority,omitempty"`
 }
 
+// AccountRun copies accounts of the base table, and then adds new ones.
+type AccountRun struct {
+	// Added corresponds to the JSON schema field "added".
+	Added []Account `json:"added,omitempty,omitzero" msgpack:"added,omitempty"`
+
+	// Count is the number of accounts to copy.
+	Count int `json:"count" msgpack:"count"`
+
+	// From is the index of the first account to copy.
+	From int `json:"from" msgpack:"from"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *AccountRun) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["count"]; raw != nil && !ok {
+		return fmt.Errorf("field count in AccountRun: required")
+	}
+	if _, ok := raw["from"]; raw != nil && !ok {
+		return fmt.Errorf("field from in AccountRun: required")
+	}
+	type Plain AccountRun
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = AccountRun(plain)
+	return nil
+}
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Account) UnmarshalJSON(value []byte) error {
 	var raw map[string]interface{}
@@ -240,6 +273,9 @@
 
 	// GoneProfiles are the names of the deleted profiles.
 	GoneProfiles []string `json:"goneProfiles" msgpack:"goneProfiles"`
+
+	// Table corresponds to the JSON schema field "table".
+	Table *TableDelta `json:"table,omitempty,omitzero" msgpack:"table,omitempty"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -332,6 +368,67 @@
 	return nil
 }
 
+// ControlsAnswer lists the control instances that the answering one knows, itself
+// included.
+type ControlsAnswer struct {
+	// Controls corresponds to the JSON schema field "controls".
+	Controls []ControlPlace `json:"controls" msgpack:"controls"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ControlsAnswer) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["controls"]; raw != nil && !ok {
+		return fmt.Errorf("field controls in ControlsAnswer: required")
+	}
+	type Plain ControlsAnswer
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ControlsAnswer(plain)
+	return nil
+}
+
+// ControlsAsk asks a control instance which ones it knows.
+type ControlsAsk map[string]interface{}
+
+// DocumentRun copies pieces of the base table's document, and then adds new text.
+type DocumentRun struct {
+	// Count is the number of pieces to copy.
+	Count int `json:"count" msgpack:"count"`
+
+	// From is the index of the first piece to copy.
+	From int `json:"from" msgpack:"from"`
+
+	// Text is the new text in base64.
+	Text *string `json:"text,omitempty,omitzero" msgpack:"text,omitempty"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *DocumentRun) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["count"]; raw != nil && !ok {
+		return fmt.Errorf("field count in DocumentRun: required")
+	}
+	if _, ok := raw["from"]; raw != nil && !ok {
+		return fmt.Errorf("field from in DocumentRun: required")
+	}
+	type Plain DocumentRun
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = DocumentRun(plain)
+	return nil
+}
+
 // Edit is one operator's change to the configuration.
 type Edit struct {
 	// Base is the base revision, which is the revision of the edited object that the
@@ -362,6 +459,9 @@
 
 	// Table corresponds to the JSON schema field "table".
 	Table *Table `json:"table,omitempty,omitzero" msgpack:"table,omitempty"`
+
+	// TableDelta corresponds to the JSON schema field "tableDelta".
+	TableDelta *TableDelta `json:"tableDelta,omitempty,omitzero" msgpack:"tableDelta,omitempty"`
 }
 
 // EditAnswer is the stored result of one edit, which a resend of the edit gets
@@ -902,6 +1002,13 @@
 	// registry.
 	MemberVersion int `json:"memberVersion" msgpack:"memberVersion"`
 
+	// MembersDigest is the hash of the members that the node has, in hexadecimal.
+	MembersDigest *string `json:"membersDigest,omitempty,omitzero" msgpack:"membersDigest,omitempty"`
+
+	// Partial is true when the node's members are from a registry that was not
+	// settled, so that former members may be among them.
+	Partial *bool `json:"partial,omitempty,omitzero" msgpack:"partial,omitempty"`
+
 	// Registry identifies the registry that the member version belongs to; versions
 	// of different registries cannot be compared.
 	Registry string `json:"registry" msgpack:"registry"`
@@ -912,6 +1019,9 @@
 	// Services are those whose members the node wants.
 	Services []string `json:"services" msgpack:"services"`
 
+	// Table is the number of the routing table that the node has, 0 for none.
+	Table *int `json:"table,omitempty,omitzero" msgpack:"table,omitempty"`
+
 	// WaitMillis is how long the control instance may wait for a change before it
 	// answers.
 	WaitMillis int `json:"waitMillis" msgpack:"waitMillis"`
@@ -1828,6 +1938,39 @@
 	return nil
 }
 
+// RouteRun copies routes of the base table, and then adds new ones.
+type RouteRun struct {
+	// Added corresponds to the JSON schema field "added".
+	Added []HostRoute `json:"added,omitempty,omitzero" msgpack:"added,omitempty"`
+
+	// Count is the number of routes to copy.
+	Count int `json:"count" msgpack:"count"`
+
+	// From is the index of the first route to copy.
+	From int `json:"from" msgpack:"from"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *RouteRun) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["count"]; raw != nil && !ok {
+		return fmt.Errorf("field count in RouteRun: required")
+	}
+	if _, ok := raw["from"]; raw != nil && !ok {
+		return fmt.Errorf("field from in RouteRun: required")
+	}
+	type Plain RouteRun
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = RouteRun(plain)
+	return nil
+}
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Route) UnmarshalJSON(value []byte) error {
 	var raw map[string]interface{}
@@ -1861,6 +2004,39 @@
 	return nil
 }
 
+// ServiceRun copies services of the base table, and then adds new ones.
+type ServiceRun struct {
+	// Added corresponds to the JSON schema field "added".
+	Added []TableService `json:"added,omitempty,omitzero" msgpack:"added,omitempty"`
+
+	// Count is the number of services to copy.
+	Count int `json:"count" msgpack:"count"`
+
+	// From is the index of the first service to copy.
+	From int `json:"from" msgpack:"from"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ServiceRun) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["count"]; raw != nil && !ok {
+		return fmt.Errorf("field count in ServiceRun: required")
+	}
+	if _, ok := raw["from"]; raw != nil && !ok {
+		return fmt.Errorf("field from in ServiceRun: required")
+	}
+	type Plain ServiceRun
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ServiceRun(plain)
+	return nil
+}
+
 // Table is the routing table.
 type Table struct {
 	// Accounts corresponds to the JSON schema field "accounts".
@@ -1899,6 +2075,67 @@
 	Services []TableService `json:"services" msgpack:"services"`
 }
 
+// TableDelta is a routing table as the difference from another one.
+type TableDelta struct {
+	// Accounts corresponds to the JSON schema field "accounts".
+	Accounts []AccountRun `json:"accounts" msgpack:"accounts"`
+
+	// Base is the number of the table that the difference is from.
+	Base int `json:"base" msgpack:"base"`
+
+	// Digest is the hash of the new table without its document, in hexadecimal.
+	Digest string `json:"digest" msgpack:"digest"`
+
+	// Document is the difference of the documents; it is not sent to nodes.
+	Document []DocumentRun `json:"document,omitempty,omitzero" msgpack:"document,omitempty"`
+
+	// DocumentDigest is the hash of the new document in hexadecimal; it is not sent
+	// to nodes.
+	DocumentDigest *string `json:"documentDigest,omitempty,omitzero" msgpack:"documentDigest,omitempty"`
+
+	// Head corresponds to the JSON schema field "head".
+	Head Table `json:"head" msgpack:"head"`
+
+	// Routes corresponds to the JSON schema field "routes".
+	Routes []RouteRun `json:"routes" msgpack:"routes"`
+
+	// Services corresponds to the JSON schema field "services".
+	Services []ServiceRun `json:"services" msgpack:"services"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TableDelta) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["accounts"]; raw != nil && !ok {
+		return fmt.Errorf("field accounts in TableDelta: required")
+	}
+	if _, ok := raw["base"]; raw != nil && !ok {
+		return fmt.Errorf("field base in TableDelta: required")
+	}
+	if _, ok := raw["digest"]; raw != nil && !ok {
+		return fmt.Errorf("field digest in TableDelta: required")
+	}
+	if _, ok := raw["head"]; raw != nil && !ok {
+		return fmt.Errorf("field head in TableDelta: required")
+	}
+	if _, ok := raw["routes"]; raw != nil && !ok {
+		return fmt.Errorf("field routes in TableDelta: required")
+	}
+	if _, ok := raw["services"]; raw != nil && !ok {
+		return fmt.Errorf("field services in TableDelta: required")
+	}
+	type Plain TableDelta
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = TableDelta(plain)
+	return nil
+}
+
 // TableService is a service as the routing table describes it.
 type TableService struct {
 	// HealthPath is the path at which a backend server reports its health.
--- a/link.go
+++ b/link.go
@@ -16,14 +16,34 @@
 	Service
 	// Handle sets the handler of a method. It must be called before the messenger starts.
 	Handle(m Method, h MessageHandler)
-	// Request sends a request to an IP address and port and decodes the response into answer, which is a pointer.
+	// Request sends a request to an IP address and port and decodes the response into answer, which is a pointer. It fails with an
+	// *UnreachedError if the request was not sent.
 	Request(ctx context.Context, address string, m Method, message, answer any) error
 }
 
+// UnreachedError reports a request that was not sent, because no connection to the other process could be opened.
+type UnreachedError struct {
+	address string
+	cause   error
+}
+
+// NewUnreachedError returns an error about a process that could not be reached because of the cause.
+func NewUnreachedError(address string, cause error) *UnreachedError {
+	return &UnreachedError{address: address, cause: cause}
+}
+
+// Error implements error.
+func (e *UnreachedError) Error() string { return "connect to " + e.address + ": " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnreachedError) Unwrap() error { return e.cause }
+
 // Methods that control instances serve.
 const (
 	// MethodPoll fetches changes from a control instance and renews the node's registration.
 	MethodPoll Method = "subscription.poll"
+	// MethodControls fetches the places of the control instances that a control instance knows.
+	MethodControls Method = "subscription.controls"
 	// MethodPool requests a token of a customer's rate limit from a control instance.
 	MethodPool Method = "pool.token"
 	// MethodTransfer requests unused tokens of a customer's rate limit from another control instance.
