Serve customers within their limit while pools restart

Nodes polled one instance after the other while none was current, and each of those polls put off by 2 s that an instance counted the node; a pool that counts no node grants nothing. A node asked the pool of the instance that it polls alone; pools began empty; requests were refused at once though pools were back within a second; and all nodes fetched all members from each instance that was behind.

Change: an instance that is not current answers nothing but that, and its polls do not count. pollingSince follows every poll elsewhere, so that a member which moves to and fro is counted once (it was counted at two instances before). A node asks the next near pool where its own is silent or idle. Pools reserve tokens up to 250 ms ahead, and begin with a quarter of the allowed excess.

--- a/control.go
+++ b/control.go
@@ -110,8 +110,9 @@
 // Registry holds the members that are registered with the control instances.
 type Registry interface {
 	Service
-	// Announce adds or renews a member that polled this control instance. sinceElsewhere is the time since it polled another one.
-	Announce(m *Member, sinceElsewhere time.Duration)
+	// Announce adds or renews a member that polled this control instance. sinceElsewhere is the time since a poll of another one
+	// counted; counts is false while polls of this one do not count for CountPolling.
+	Announce(m *Member, sinceElsewhere time.Duration, counts bool)
 	// Merge applies a delta of the members registered with another control instance. If full is set, d replaces all of them.
 	Merge(source InstanceID, d MemberDelta, full bool)
 	// RemoveSource removes the members of a control instance that no longer responds.
--- a/internal/control/members/registry.go
+++ b/internal/control/members/registry.go
@@ -56,9 +56,10 @@
 // lease keeps a local member registered until it expires.
 type lease struct {
 	expiresAt time.Time
-	// pollingSince is when the member was last known to poll another control instance, as it said in its first poll.
+	// pollingSince is when a poll of another control instance last counted, as the member said, and countedAt is when one of this
+	// control instance last did; both are zero until one has.
 	pollingSince time.Time
-	renewedAt    time.Time
+	countedAt    time.Time
 	// cancel stops the timer that ends the lease.
 	cancel func()
 }
@@ -106,7 +107,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, l := range r.leases {
-		if now.Sub(l.pollingSince) >= minPollingTime && now.Sub(l.renewedAt) <= pollingTimeout {
+		if !l.countedAt.IsZero() && now.Sub(l.pollingSince) >= minPollingTime && now.Sub(l.countedAt) <= pollingTimeout {
 			local++
 		}
 	}
@@ -119,8 +120,10 @@
 // announceEvent carries a member's announcement to the control thread.
 type announceEvent struct {
 	member *figpier.Member
-	// elsewhere is how long ago the member polled another control instance.
+	// elsewhere is how long ago a poll of another control instance counted.
 	elsewhere time.Duration
+	// counts is false if the poll of this one does not count.
+	counts bool
 }
 
 // Target implements figpier.Event.
@@ -144,8 +147,8 @@
 func (mergeEvent) Target() figpier.ServiceName { return figpier.RegistryService }
 
 // Announce implements figpier.Registry.
-func (r *Registry) Announce(m *figpier.Member, elsewhere time.Duration) {
-	_ = r.control.Post(announceEvent{member: m, elsewhere: elsewhere})
+func (r *Registry) Announce(m *figpier.Member, elsewhere time.Duration, counts bool) {
+	_ = r.control.Post(announceEvent{member: m, elsewhere: elsewhere, counts: counts})
 }
 
 // Merge implements figpier.Registry.
@@ -180,17 +183,19 @@
 	if ok && old.member.Sequence() > m.Sequence() {
 		return
 	}
-	since := now.Add(-e.elsewhere)
-	if l, ok := r.leases[id]; ok {
+	l, renewed := r.leases[id]
+	if renewed {
 		l.cancel()
-		since = l.pollingSince
 	}
-	r.leases[id] = lease{
-		expiresAt:    now.Add(r.config.Lease),
-		pollingSince: since,
-		renewedAt:    now,
-		cancel:       r.control.PostAfter(r.config.Lease, leaseEndEvent{instance: id}),
+	l.expiresAt = now.Add(r.config.Lease)
+	l.cancel = r.control.PostAfter(r.config.Lease, leaseEndEvent{instance: id})
+	if since := now.Add(-e.elsewhere); since.After(l.pollingSince) {
+		l.pollingSince = since
 	}
+	if e.counts {
+		l.countedAt = now
+	}
+	r.leases[id] = l
 	r.local.put(m)
 	r.updateOverall(id)
 }
--- a/internal/control/members/registry_test.go
+++ b/internal/control/members/registry_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/figpier/figpier"
 )
@@ -67,7 +68,7 @@
 		if at >= moves {
 			polled, elsewhere = joined, at-moves+100*time.Millisecond
 		}
-		polled.HandleEvent(now, announceEvent{member: member("b1", 1), elsewhere: elsewhere})
+		polled.HandleEvent(now, announceEvent{member: member("b1", 1), elsewhere: elsewhere, counts: true})
 		before, _ := left.CountPolling(now)
 		after, _ := joined.CountPolling(now)
 		assert.Assert(t, before+after <= 1, "%v: %d and %d", at, before, after)
@@ -76,12 +77,63 @@
 	assert.Equal(t, counted, 1)
 }
 
+// TestMemberThatMovesToAndFroIsNeverCountedTwice guards against a control instance that counts a returning member at once,
+// because its lease from before is still there.
+func TestMemberThatMovesToAndFroIsNeverCountedTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(0, 0)
+		registries := []*Registry{New(Config{Lease: 3 * time.Second}), New(Config{Lease: 3 * time.Second}), New(Config{Lease: 3 * time.Second})}
+		counted := make([]time.Time, len(registries))
+		for _, r := range registries {
+			r.control = fakeControl{}
+		}
+		at := 0
+		for step := range 200 {
+			now := start.Add(time.Duration(step) * 100 * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(t, "move") == 0 {
+				at = rapid.IntRange(0, len(registries)-1).Draw(t, "registry")
+			}
+			elsewhere := time.Hour
+			for i, last := range counted {
+				if i != at && !last.IsZero() {
+					elsewhere = min(elsewhere, now.Sub(last))
+				}
+			}
+			counts := rapid.IntRange(0, 4).Draw(t, "behind") > 0
+			if counts {
+				counted[at] = now
+			}
+			registries[at].HandleEvent(now, announceEvent{member: member("b1", 1), elsewhere: elsewhere, counts: counts})
+			all := 0
+			for _, r := range registries {
+				n, _ := r.CountPolling(now)
+				all += n
+			}
+			assert.Assert(t, all <= 1, "step %d: counted at %d control instances", step, all)
+		}
+	})
+}
+
+// TestPollsThatDoNotCountDelayNoLaterCount covers the restart of all control instances: members poll one after the other while
+// none of them is current, and are counted at the first one that is.
+func TestPollsThatDoNotCountDelayNoLaterCount(t *testing.T) {
+	r := New(Config{Lease: 3 * time.Second})
+	r.control = fakeControl{}
+	now := time.Unix(0, 0)
+	r.HandleEvent(now, announceEvent{member: member("b1", 1), elsewhere: time.Hour})
+	counted, _ := r.CountPolling(now)
+	assert.Equal(t, counted, 0)
+	r.HandleEvent(now.Add(time.Second), announceEvent{member: member("b1", 1), elsewhere: time.Hour, counts: true})
+	counted, _ = r.CountPolling(now.Add(time.Second))
+	assert.Equal(t, counted, 1)
+}
+
 func TestMemberNotCountedElsewhereIsCountedAtOnce(t *testing.T) {
 	r := New(Config{Lease: 3 * time.Second})
 	r.control = fakeControl{}
 	now := time.Unix(0, 0)
-	r.HandleEvent(now, announceEvent{member: member("b1", 1), elsewhere: minPollingTime - time.Millisecond})
-	r.HandleEvent(now, announceEvent{member: member("b2", 1), elsewhere: minPollingTime})
+	r.HandleEvent(now, announceEvent{member: member("b1", 1), elsewhere: minPollingTime - time.Millisecond, counts: true})
+	r.HandleEvent(now, announceEvent{member: member("b2", 1), elsewhere: minPollingTime, counts: true})
 	counted, _ := r.CountPolling(now)
 	assert.Equal(t, counted, 1)
 }
--- a/internal/control/operator/node_test.go
+++ b/internal/control/operator/node_test.go
@@ -23,7 +23,7 @@
 type fakeRegistry struct{ noopService }
 
 func (fakeRegistry) Name() figpier.ServiceName               { return figpier.RegistryService }
-func (fakeRegistry) Announce(*figpier.Member, time.Duration) {}
+func (fakeRegistry) Announce(*figpier.Member, time.Duration, bool) {}
 func (fakeRegistry) ID() string                              { return "r" }
 func (fakeRegistry) Settled(time.Time) bool                  { return true }
 func (fakeRegistry) Count() int                              { return 1 }
--- a/internal/control/pool/pool.go
+++ b/internal/control/pool/pool.go
@@ -66,6 +66,7 @@
 		OverageFraction: p.config.OverageFraction,
 		SlackRequests:   p.config.SlackRequests,
 		Start:           p.startedAt,
+		Credit:          true,
 	})
 	if p.catalog, err = figpier.FindCatalog(d); err != nil {
 		return err
@@ -87,8 +88,8 @@
 // Stop implements figpier.Service.
 func (p *Pool) Stop(context.Context) error { return nil }
 
-// handleTokenRequest answers a node. If this pool has no token, it asks another control instance for some and tries once
-// more. The answer is Idle if no node polls this instance, or while too few nodes are known.
+// handleTokenRequest answers a node. If this pool has no token, it asks another control instance for some, and reserves one
+// that it will earn soon if there is none. The answer is Idle if no node polls this instance, or while too few nodes are known.
 func (p *Pool) handleTokenRequest(ctx context.Context, decode figpier.Decode) (any, error) {
 	var m message.PoolAsk
 	if err := decode(&m); err != nil {
@@ -100,19 +101,25 @@
 		return message.PoolAnswer{Idle: true}, nil
 	}
 	// An instance that has just started may know fewer nodes than the asking node does.
-	a := p.grant(now, m, polling, max(all, m.Nodes))
-	if !a.Granted && p.requestTransfer(ctx, figpier.CustomerID(m.Customer)) {
-		m.Owed = 0
-		paid := a.Paid
-		a = p.grant(p.clock.Now(), m, polling, max(all, m.Nodes))
-		a.Paid = paid
+	all = max(all, m.Nodes)
+	a := p.grant(now, m, polling, all, p.quotas.Take)
+	if a.Granted {
+		return a, nil
 	}
+	p.requestTransfer(ctx, figpier.CustomerID(m.Customer))
+	m.Owed = 0
+	paid := a.Paid
+	a = p.grant(p.clock.Now(), m, polling, all, p.quotas.Reserve)
+	a.Paid = paid
 	return a, nil
 }
 
+// spend is quota.Table.Take or quota.Table.Reserve.
+type spend func(now time.Time, c figpier.CustomerID, l figpier.Limit, share float64) (wait time.Duration, ok bool)
+
 // grant takes the tokens that the node owes and then one more from a customer's pool. For a customer without an account it
 // always grants, as the node may know a newer routing table.
-func (p *Pool) grant(now time.Time, m message.PoolAsk, polling, all int) message.PoolAnswer {
+func (p *Pool) grant(now time.Time, m message.PoolAsk, polling, all int, one spend) message.PoolAnswer {
 	c := figpier.CustomerID(m.Customer)
 	limit, ok := p.limit(c)
 	if !ok {
@@ -122,7 +129,7 @@
 	defer p.mu.Unlock()
 	share := p.quotas.PoolShare(limit, polling, all)
 	paid := p.quotas.Settle(now, c, limit, share, m.Owed)
-	wait, granted := p.quotas.Take(now, c, limit, share)
+	wait, granted := one(now, c, limit, share)
 	return message.PoolAnswer{Granted: granted, WaitMillis: ceilMillis(wait), Paid: paid}
 }
 
--- a/internal/control/pool/pool_test.go
+++ b/internal/control/pool/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -101,8 +102,8 @@
 				return nil
 			})
 			assert.NilError(t, err)
-			if a.(message.PoolAnswer).Granted {
-				x.grantedAt = append(x.grantedAt, x.now)
+			if g := a.(message.PoolAnswer); g.Granted {
+				x.grantedAt = append(x.grantedAt, x.now.Add(time.Duration(g.WaitMillis)*time.Millisecond))
 			}
 		}
 	}
@@ -110,6 +111,7 @@
 
 // maxGrantedInWindow returns the largest number of tokens granted within one window.
 func (x *cluster) maxGrantedInWindow() int {
+	slices.SortFunc(x.grantedAt, time.Time.Compare)
 	most, from := 0, 0
 	for i, at := range x.grantedAt {
 		for at.Sub(x.grantedAt[from]) >= window {
@@ -126,7 +128,7 @@
 	refused := 0
 	for range 2000 {
 		x.now = x.now.Add(49 * time.Microsecond)
-		a := x.pools["a"].grant(x.now, message.PoolAsk{Customer: customer}, nodes, nodes)
+		a := x.pools["a"].grant(x.now, message.PoolAsk{Customer: customer}, nodes, nodes, x.pools["a"].quotas.Take)
 		if !a.Granted {
 			refused++
 			assert.Assert(t, a.WaitMillis > 0, "a refusal without a retry time")
--- a/internal/control/subscription/server.go
+++ b/internal/control/subscription/server.go
@@ -16,6 +16,10 @@
 // It is far above any freshness bound of the nodes.
 const maxReportedAge = 24 * time.Hour
 
+// maxCountingAge is how long ago this control instance may last have known that it is current for a poll to count for the division
+// of limits. Nodes that find it behind go on to another control instance, which shall count them at once.
+const maxCountingAge = time.Second
+
 // coalesceTime is how long a poll waits after a change for further ones, so that changes in quick succession, such as the
 // members of a fleet that starts, cost a few messages a node instead of one for each change.
 const coalesceTime = 100 * time.Millisecond
@@ -87,8 +91,12 @@
 	if err := decode(&p); err != nil {
 		return nil, err
 	}
+	current := s.log.QuorumAge(s.clock.Now()) < maxCountingAge
 	if p.Member.Service != "" {
-		s.registry.Announce(codec.ToMember(p.Member), time.Duration(p.ElsewhereMillis)*time.Millisecond)
+		s.registry.Announce(codec.ToMember(p.Member), time.Duration(p.ElsewhereMillis)*time.Millisecond, current)
+	}
+	if !current {
+		return s.answerBehind(), nil
 	}
 	// Read once, so that a list which was not checked against a settled registry never counts as complete.
 	settled := s.registry.Settled(s.clock.Now())
@@ -99,6 +107,17 @@
 	return s.answer(p, full, settled), nil
 }
 
+// answerBehind returns the answer of an instance that is not current, which the node leaves for another one. It carries nothing
+// else, as all nodes get such answers over and over while the control instances elect a leader.
+func (s *Server) answerBehind() *message.PollAnswer {
+	uncounted := true
+	return &message.PollAnswer{QuorumAgeMillis: s.quorumAgeMillis(), Controls: []message.ControlPlace{}, Uncounted: &uncounted}
+}
+
+func (s *Server) quorumAgeMillis() int {
+	return int(min(s.log.QuorumAge(s.clock.Now()), maxReportedAge).Milliseconds()) + 1
+}
+
 // needsAllMembers reports whether the node has to be sent all members: its member versions belong to another registry, such as
 // that of a restarted control instance, or its list may hold former members. If its list is complete all the same, the
 // poll is changed to one that names this registry and its version.
@@ -184,9 +203,8 @@
 
 func (s *Server) answer(p message.Poll, full, settled bool) *message.PollAnswer {
 	// Read the age before the configuration, so that the configuration is at least as new as the age says.
-	age := s.log.QuorumAge(s.clock.Now())
 	a := &message.PollAnswer{
-		QuorumAgeMillis: int(min(age, maxReportedAge).Milliseconds()) + 1,
+		QuorumAgeMillis: s.quorumAgeMillis(),
 		Registry:        s.registry.ID(),
 		Full:            full,
 		Settled:         settled,
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -19,6 +19,11 @@
 	// minBucketDepth is the minimum depth of the bucket of a node's own share. A smaller bucket would be emptied by two
 	// concurrent requests, so the whole limit is left to the pools.
 	minBucketDepth = 2
+	// startExcessFraction is the fraction of the allowed excess with which the buckets of a new table begin, if Config.Credit says
+	// so. It serves the first seconds after a restart; what is left of the excess covers a second restart within the window.
+	startExcessFraction = 0.25
+	// maxReservation is the time ahead for which tokens are reserved.
+	maxReservation = 250 * time.Millisecond
 	// sweepInterval is the time between removals of unused buckets, and the age at which they are removed.
 	sweepInterval = time.Minute
 )
@@ -33,6 +38,8 @@
 	SlackRequests float64
 	// Start is the time from which empty buckets are filled, since earlier spending is not known.
 	Start time.Time
+	// Credit makes buckets begin with a part of the allowed excess.
+	Credit bool
 }
 
 // Table holds a token bucket for each recently active customer. It is not safe for concurrent use.
@@ -136,9 +143,26 @@
 	return 0, true
 }
 
+// Reserve spends a token like Take, or reserves one that will be earned within maxReservation. The request must then be held
+// for the returned time.
+func (t *Table) Reserve(now time.Time, c figpier.CustomerID, l figpier.Limit, share float64) (wait time.Duration, ok bool) {
+	wait, ok = t.Take(now, c, l, share)
+	if ok || wait > maxReservation || share <= 0 {
+		return wait, ok
+	}
+	t.bucket(c).tokens--
+	return wait, true
+}
+
 // refill returns the bucket of a customer after adding the tokens that a share of its limit earned since the last update.
 func (t *Table) refill(now time.Time, c figpier.CustomerID, l figpier.Limit, share float64) *bucket {
-	b := t.bucket(c)
+	b, known := t.buckets[c]
+	if !known {
+		b = t.bucket(c)
+		if t.config.Credit {
+			b.tokens = startExcessFraction * t.allowedExcess(l) * share
+		}
+	}
 	earned := l.Rate() * share * max(0, now.Sub(b.updated).Seconds())
 	b.tokens = math.Min(max(1, t.bucketDepth(l)*share), b.tokens+earned)
 	b.updated = now
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -83,3 +84,42 @@
 	_, ok := newTable().Take(start, "valv", limit(0, 0), 0)
 	assert.Assert(t, ok)
 }
+
+// TestReservationsAndCreditKeepTheLimit covers restarts of a pool, each of which begins with a credit, under requests that reserve
+// all that they can.
+func TestReservationsAndCreditKeepTheLimit(t *testing.T) {
+	for _, l := range []figpier.Limit{limit(2, 2), limit(16, 16), limit(84, 40)} {
+		var sent []time.Time
+		p := newTable()
+		for at := time.Duration(0); at < 30*time.Second; at += 2 * time.Millisecond {
+			now := start.Add(at)
+			if at%(6*time.Second) == 0 && at > 0 {
+				p = New(Config{Window: window, OverageFraction: 0.1, SlackRequests: 20, Start: now, Credit: true})
+			}
+			if wait, ok := p.Reserve(now, "valv", l, 1); ok {
+				assert.Assert(t, wait <= maxReservation)
+				sent = append(sent, now.Add(wait))
+			}
+		}
+		slices.SortFunc(sent, time.Time.Compare)
+		allowed := (l.Rate()*window.Seconds()+l.Burst())*1.1 + 20
+		from := 0
+		for i, at := range sent {
+			for at.Sub(sent[from]) >= window {
+				from++
+			}
+			assert.Assert(t, float64(i-from+1) <= allowed, "limit %v: %d of %v", l, i-from+1, allowed)
+		}
+	}
+}
+
+func TestCreditServesTheFirstRequestsAfterARestart(t *testing.T) {
+	p := New(Config{Window: window, OverageFraction: 0.1, SlackRequests: 20, Start: start, Credit: true})
+	granted := 0
+	for range 100 {
+		if _, ok := p.Take(start, "valv", limit(4, 4), 1); ok {
+			granted++
+		}
+	}
+	assert.Equal(t, granted, 5)
+}
--- a/internal/traffic/configview/state.go
+++ b/internal/traffic/configview/state.go
@@ -37,6 +37,8 @@
 	control string
 	// pollSentAt is when the poll was sent that this answer belongs to.
 	pollSentAt time.Time
+	// changed is closed when the next snapshot is published.
+	changed chan struct{}
 	// controls are the control instances listed in the last answer.
 	controls []figpier.ControlPlace
 	// confirmed is the latest time at which the configuration is known to have been the accepted one.
@@ -174,6 +176,7 @@
 // newSnapshot returns a copy of the state for traffic threads, with members by service in the order of their instances.
 func (s *state) newSnapshot() *snapshot {
 	published := s.snapshot
+	published.changed = make(chan struct{})
 	published.members = map[figpier.UpstreamService][]*figpier.Member{}
 	all := make([]*figpier.Member, 0, len(s.members))
 	for _, m := range s.members {
--- a/internal/traffic/configview/view.go
+++ b/internal/traffic/configview/view.go
@@ -146,6 +146,23 @@
 // ControlAddress implements figpier.ConfigurationView.
 func (v *View) ControlAddress() string { return v.published.Load().control }
 
+// ControlAddresses implements figpier.ConfigurationView.
+func (v *View) ControlAddresses() []string {
+	s := v.published.Load()
+	others := slices.Clone(s.controls)
+	slices.SortStableFunc(others, func(a, b figpier.ControlPlace) int { return cmp.Compare(v.distance(a), v.distance(b)) })
+	addresses := []string{s.control}
+	for _, p := range others {
+		if p.Address() != s.control {
+			addresses = append(addresses, p.Address())
+		}
+	}
+	return addresses
+}
+
+// Changed implements figpier.ConfigurationView.
+func (v *View) Changed() <-chan struct{} { return v.published.Load().changed }
+
 // NodeCount implements figpier.ConfigurationView.
 func (v *View) NodeCount() int { return v.published.Load().nodes }
 
@@ -373,7 +390,8 @@
 	var a message.PollAnswer
 	err := v.messenger.Request(pollCtx, address, figpier.MethodPoll, p, &a)
 	unreached := (*figpier.UnreachedError)(nil)
-	if !errors.As(err, &unreached) {
+	uncounted := err == nil && a.Uncounted != nil && *a.Uncounted
+	if !errors.As(err, &unreached) && !uncounted {
 		v.lastPoll[address] = sent
 	}
 	if err != nil {
@@ -383,6 +401,12 @@
 		v.config.Log.WithError(err).WithField("control", address).Warn("a control instance does not answer")
 		return retryIntervalFor(err), false
 	}
+	line := v.config.Log.WithFields(logrus.Fields{"control": address, "quorumAgeMillis": a.QuorumAgeMillis, "revision": a.Revision})
+	if uncounted {
+		line.Warn("a control instance is behind")
+		v.waitRetryPause(ctx)
+		return behindRetryInterval, false
+	}
 	e := &pollAnswered{sent: sent, control: address, followed: known.followed, answer: a, applied: make(chan struct{})}
 	if err := v.control.Post(e); err != nil {
 		return 0, false
@@ -392,7 +416,6 @@
 		return 0, false
 	case <-e.applied:
 	}
-	line := v.config.Log.WithFields(logrus.Fields{"control": address, "quorumAgeMillis": a.QuorumAgeMillis, "revision": a.Revision})
 	if e.err != nil {
 		line.WithError(e.err).Warn("a configuration can't be applied: the whole one is requested")
 		return behindRetryInterval, false
@@ -412,7 +435,7 @@
 	return silentRetryInterval
 }
 
-// sinceOtherPoll returns how long ago a control instance at any other address may have received a poll.
+// sinceOtherPoll returns how long ago a control instance at any other address may have received a poll that it counts.
 func (v *View) sinceOtherPoll(now time.Time, address string) time.Duration {
 	age := noOtherPollAge
 	for a, at := range v.lastPoll {
@@ -499,7 +522,7 @@
 		v.state.follow(e)
 		defer v.repoll()
 	}
-	v.published.Store(v.state.newSnapshot())
+	close(v.published.Swap(v.state.newSnapshot()).changed)
 	v.state.notifyWaiters()
 	if newer {
 		v.logConfiguration(now)
--- a/internal/traffic/configview/view_test.go
+++ b/internal/traffic/configview/view_test.go
@@ -20,6 +20,8 @@
 	mu      sync.Mutex
 	alive   map[string]bool
 	refuses map[string]bool
+	// behind are the control instances that are not current.
+	behind map[string]bool
 	// polled are the addresses that were polled, in order.
 	polled []string
 	// elsewhere is the field ElsewhereMillis of the last poll of each address.
@@ -44,7 +46,7 @@
 		m.polled = append(m.polled, address)
 		m.elsewhere[address] = question.(message.Poll).ElsewhereMillis
 	}
-	alive, refuses := m.alive[address], m.refuses[address]
+	alive, refuses, behind := m.alive[address], m.refuses[address], m.behind[address]
 	m.mu.Unlock()
 	switch {
 	case refuses:
@@ -56,6 +58,10 @@
 		*answer.(*message.ControlsAnswer) = message.ControlsAnswer{Controls: controls}
 		return nil
 	}
+	if behind {
+		*answer.(*message.PollAnswer) = message.PollAnswer{Uncounted: &behind, QuorumAgeMillis: 1e9}
+		return nil
+	}
 	wait := time.NewTimer(time.Duration(question.(message.Poll).WaitMillis) * time.Millisecond)
 	defer wait.Stop()
 	select {
@@ -73,6 +79,16 @@
 	m.alive[address], m.refuses[address] = alive, refuses
 }
 
+// setBehind makes the control instances at the addresses, and no others, not current.
+func (m *fakeMessenger) setBehind(addresses ...string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.behind)
+	for _, a := range addresses {
+		m.behind[a] = true
+	}
+}
+
 // polls returns how often a control instance was polled.
 func (m *fakeMessenger) polls(address string) (n int) {
 	m.mu.Lock()
@@ -128,7 +144,7 @@
 }
 
 func newFakeMessenger() *fakeMessenger {
-	return &fakeMessenger{alive: map[string]bool{"far": true, "near": true, "beside": true}, refuses: map[string]bool{}, elsewhere: map[string]int{}}
+	return &fakeMessenger{alive: map[string]bool{"far": true, "near": true, "beside": true}, refuses: map[string]bool{}, behind: map[string]bool{}, elsewhere: map[string]int{}}
 }
 
 // TestNodePollsItsOwnRegion guards against polls that cross to another region while the own one has a control instance, as
@@ -164,6 +180,21 @@
 	waitFor(t, func() bool { return v.ControlAddress() == "near" })
 }
 
+// TestInstancesThatAreBehindAreLeftAndDoNotCount covers the time after a restart of all control instances, in which nodes poll
+// one after the other until a leader is elected.
+func TestInstancesThatAreBehindAreLeftAndDoNotCount(t *testing.T) {
+	m := newFakeMessenger()
+	v := startView(t, m)
+	waitFor(t, func() bool { return v.ControlAddress() == "near" })
+	m.setBehind("near", "beside", "far")
+	waitFor(t, func() bool { return m.polls("far") > 1 })
+	assert.Equal(t, v.ControlAddress(), "near", "an instance that is behind has no tokens")
+	m.setBehind()
+	polls := m.polls("near")
+	waitFor(t, func() bool { return m.polls("near") > polls+1 })
+	assert.Equal(t, m.lastElsewhere("near"), noOtherPollAge)
+}
+
 func TestViewSwitchesFromUnreachableControlInstances(t *testing.T) {
 	m := newFakeMessenger()
 	v := startView(t, m)
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -95,7 +95,7 @@
 	if c.Customer == "" {
 		return nil
 	}
-	return g.limiter.Take(ctx, c.Customer, c.Service)
+	return g.limiter.Take(ctx, c.Customer, c.Service, c.Deadline.Sub(g.clock.Now()))
 }
 
 // identify returns the customer whose key came with the request, and the key's digest. Both are zero on an open route.
--- a/internal/traffic/limiter/limiter.go
+++ b/internal/traffic/limiter/limiter.go
@@ -80,8 +80,8 @@
 // Stop implements figpier.Service.
 func (l *Limiter) Stop(context.Context) error { return nil }
 
-// Take implements figpier.Limiter.
-func (l *Limiter) Take(ctx context.Context, c figpier.CustomerID, s figpier.UpstreamService) error {
+// Take implements figpier.Limiter. A request waits for at most Config.MaxWait.
+func (l *Limiter) Take(ctx context.Context, c figpier.CustomerID, s figpier.UpstreamService, _ time.Duration) error {
 	if _, ok := l.view.Configuration().ProfileOf(s); !ok {
 		return figpier.Refuse(figpier.RefusalNoProfile)
 	}
--- a/internal/traffic/quota/limiter.go
+++ b/internal/traffic/quota/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -27,6 +28,12 @@
 	// unansweredRetryAfter is the Retry-After of a refusal because the pool did not answer. By then the node polls another
 	// control instance or spends its part itself.
 	unansweredRetryAfter = 500 * time.Millisecond
+	// silentPoolInterval is how long a pool that did not answer, or that grants no tokens yet, is only asked if all others did so too.
+	silentPoolInterval = 300 * time.Millisecond
+	// retryInterval is the time between two tries of a request that waits while no pool grants tokens.
+	retryInterval = 100 * time.Millisecond
+	// maxPoolsAsked is the number of pools that a request asks in one try.
+	maxPoolsAsked = 2
 	// logInterval is the least time between two log lines about a pool that does not answer.
 	logInterval = time.Second
 )
@@ -60,6 +67,8 @@
 	aloneTable *policy.Table
 	// debt counts the requests admitted on credit while the pool did not answer but may still have counted this node.
 	debt *policy.Debt
+	// avoided holds the pools that granted nothing lately, by the address of their control instance.
+	avoided map[string]avoidance
 	// idleControl is the control instance whose pool does not grant tokens yet, and idleSince is when that was first seen.
 	idleControl string
 	idleSince   time.Time
@@ -70,7 +79,7 @@
 
 // New returns a limiter that has not started.
 func New(c Config) *Limiter {
-	return &Limiter{config: c, debt: policy.NewDebt(rand.Float64())}
+	return &Limiter{config: c, debt: policy.NewDebt(rand.Float64()), avoided: map[string]avoidance{}}
 }
 
 // Name implements figpier.Service.
@@ -101,31 +110,120 @@
 // Stop implements figpier.Service.
 func (l *Limiter) Stop(context.Context) error { return nil }
 
-// Take implements figpier.Limiter. The limit applies to all services together.
-func (l *Limiter) Take(ctx context.Context, c figpier.CustomerID, _ figpier.UpstreamService) error {
+// Take implements figpier.Limiter. The limit applies to all services together. While no pool grants tokens, the request tries
+// again until its patience is over, as control instances that restart are back within seconds.
+func (l *Limiter) Take(ctx context.Context, c figpier.CustomerID, _ figpier.UpstreamService, patience time.Duration) error {
 	limit, ok := l.accountLimit(c)
-	if !ok || l.takeOwn(c, limit) {
+	if !ok {
 		return nil
 	}
-	wait, granted := l.takeFromPool(ctx, c, limit)
-	if granted {
+	giveUp := l.clock.Now().Add(patience)
+	for {
+		if l.takeOwn(c, limit) {
+			return nil
+		}
+		t := l.takeFromPool(ctx, c, limit)
+		switch {
+		case t.granted:
+			return l.wait(ctx, t.wait)
+		case t.answered || l.clock.Now().Add(retryInterval).After(giveUp):
+			return figpier.NewRefusal(figpier.RefusalConfig{Reason: figpier.RefusalOverRate, RetryAfter: t.wait})
+		}
+		if err := l.wait(ctx, retryInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// wait returns after a time, or with a refusal once the caller has given up.
+func (l *Limiter) wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	over := make(chan struct{})
+	cancel := l.clock.AfterFunc(d, func() { close(over) })
+	defer cancel()
+	select {
+	case <-over:
 		return nil
+	case <-ctx.Done():
+		return figpier.Refuse(figpier.RefusalGivenUp)
+	}
+}
+
+// taking is the result of a request for a token.
+type taking struct {
+	granted bool
+	// answered means that a pool that grants tokens has answered.
+	answered bool
+	// wait is how long to hold the request if the token is granted, and the Retry-After of its refusal otherwise.
+	wait time.Duration
+}
+
+// takeFromPool asks the near pools for a token, and falls back to credit or the node's part of the pool.
+func (l *Limiter) takeFromPool(ctx context.Context, c figpier.CustomerID, limit figpier.Limit) taking {
+	var err error
+	idle := false
+	for _, address := range l.poolsToAsk() {
+		var a message.PoolAnswer
+		if a, err = l.askPool(ctx, address, c); err == nil && !a.Idle {
+			l.poolAnswered()
+			return taking{granted: a.Granted, answered: true, wait: time.Duration(a.WaitMillis) * time.Millisecond}
+		}
+		idle = idle || err == nil
+		l.avoid(address, err)
+	}
+	var t taking
+	if idle {
+		t.wait, t.granted = l.takeWhilePoolIdle(c, limit)
+	} else {
+		t.wait, t.granted = l.takeUnanswered(c, limit, err)
 	}
-	return figpier.NewRefusal(figpier.RefusalConfig{Reason: figpier.RefusalOverRate, RetryAfter: wait})
+	if t.granted {
+		t.wait = 0
+	}
+	return t
+}
+
+// avoidance is why and until when a pool is not asked.
+type avoidance struct {
+	until time.Time
+	// unreached means that its control instance could not be connected to.
+	unreached bool
 }
 
-// takeFromPool asks the control instance for a token of the pool, and falls back to credit or the node's part of the
-// pool. If no token was granted, wait is the Retry-After of the refusal.
-func (l *Limiter) takeFromPool(ctx context.Context, c figpier.CustomerID, limit figpier.Limit) (wait time.Duration, granted bool) {
-	a, err := l.askPool(ctx, c)
-	switch {
-	case err != nil:
-		return l.takeUnanswered(c, limit, err)
-	case a.Idle:
-		return l.takeWhilePoolIdle(c, limit)
+// poolsToAsk returns the addresses of the pools to ask: that of the control instance that the node polls, and then near ones.
+// Those that granted nothing lately are left out. If they all did, the first is asked unless it could not be connected to.
+func (l *Limiter) poolsToAsk() []string {
+	now := l.clock.Now()
+	all := l.view.ControlAddresses()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var addresses []string
+	for _, a := range all {
+		if len(addresses) < maxPoolsAsked && !now.Before(l.avoided[a].until) {
+			addresses = append(addresses, a)
+		}
+	}
+	if len(addresses) == 0 && !l.avoided[all[0]].unreached {
+		return all[:1]
+	}
+	return addresses
+}
+
+// avoid keeps a pool that granted nothing from being asked for silentPoolInterval. err is that of the request, nil if the pool
+// is idle.
+func (l *Limiter) avoid(address string, err error) {
+	unreached := (*figpier.UnreachedError)(nil)
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for a, v := range l.avoided {
+		if now.After(v.until) {
+			delete(l.avoided, a)
+		}
 	}
-	l.poolAnswered()
-	return time.Duration(a.WaitMillis) * time.Millisecond, a.Granted
+	l.avoided[address] = avoidance{until: now.Add(silentPoolInterval), unreached: errors.As(err, &unreached)}
 }
 
 // takeOwn spends a token of the node's own share.
@@ -137,15 +235,15 @@
 	return ok
 }
 
-// askPool asks the control instance that this node polls for a token, and repays the customer's debt.
-func (l *Limiter) askPool(ctx context.Context, c figpier.CustomerID) (message.PoolAnswer, error) {
+// askPool asks a control instance for a token, and repays the customer's debt.
+func (l *Limiter) askPool(ctx context.Context, address string, c figpier.CustomerID) (message.PoolAnswer, error) {
 	askCtx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	l.mu.Lock()
 	m := message.PoolAsk{Customer: string(c), Owed: l.debt.Owed(c), Nodes: l.countNodes(l.clock.Now())}
 	l.mu.Unlock()
 	var a message.PoolAnswer
-	err := l.messenger.Request(askCtx, l.view.ControlAddress(), figpier.MethodPool, m, &a)
+	err := l.messenger.Request(askCtx, address, figpier.MethodPool, m, &a)
 	if err == nil && a.Paid > 0 {
 		l.mu.Lock()
 		l.debt.Repay(c, a.Paid)
@@ -161,7 +259,7 @@
 	sincePoll := now.Sub(l.view.LastPoll())
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.lastLogged) >= logInterval {
+	if cause != nil && now.Sub(l.lastLogged) >= logInterval {
 		l.lastLogged = now
 		l.config.Log.WithError(cause).WithFields(logrus.Fields{
 			"control":  l.view.ControlAddress(),
--- a/internal/traffic/quota/limiter_test.go
+++ b/internal/traffic/quota/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -76,7 +77,7 @@
 			if i%5 == 0 && n.reachesControl() {
 				n.polled = f.now
 			}
-			if n.Take(t.Context(), customer, "litters") == nil {
+			if n.Take(t.Context(), customer, "litters", 0) == nil {
 				f.taken = append(f.taken, f.now)
 			}
 		}
@@ -126,6 +127,7 @@
 func (n *node) AfterFunc(time.Duration, func()) (cancel func()) { return func() {} }
 func (n *node) NodeCount() int                                  { return fleetNodes }
 func (n *node) ControlAddress() string                          { return "control" }
+func (n *node) ControlAddresses() []string                      { return []string{"control"} }
 func (n *node) LastPoll() time.Time                             { return n.polled }
 func (n *node) Name() figpier.ServiceName                       { return figpier.LimiterService }
 func (n *node) Start(context.Context, figpier.Directory) error  { return nil }
@@ -207,3 +209,116 @@
 	f.run(t, step)
 	assert.Equal(t, len(f.taken), 0, "the debt of the previous process is unknown")
 }
+
+// pools is a messenger with several control instances, of which each answers as it is told to.
+type pools struct {
+	figpier.Messenger
+	answers map[string]message.PoolAnswer
+	asked   []string
+}
+
+func (p *pools) Request(_ context.Context, address string, _ figpier.Method, _, answer any) error {
+	p.asked = append(p.asked, address)
+	a, ok := p.answers[address]
+	if !ok {
+		return context.DeadlineExceeded
+	}
+	*answer.(*message.PoolAnswer) = a
+	return nil
+}
+
+// manyControls is a view with three control instances.
+type manyControls struct{ *node }
+
+func (manyControls) ControlAddresses() []string { return []string{"home", "near", "far"} }
+
+// TestOtherPoolsAreAskedWhileTheOwnOneGrantsNothing guards against refusals within the limit while a node's control instance
+// restarts or has just been moved to.
+func TestOtherPoolsAreAskedWhileTheOwnOneGrantsNothing(t *testing.T) {
+	for name, home := range map[string]map[string]message.PoolAnswer{
+		"silent": {"near": {Granted: true}},
+		"idle":   {"home": {Idle: true}, "near": {Granted: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(4)
+			n := f.nodes[0]
+			p := &pools{answers: home}
+			n.messenger, n.view = p, manyControls{n}
+			assert.NilError(t, n.Take(t.Context(), customer, "litters", 0))
+			assert.DeepEqual(t, p.asked, []string{"home", "near"})
+
+			// The pool that granted nothing is not asked again at once, and later it is.
+			assert.NilError(t, n.Take(t.Context(), customer, "litters", 0))
+			assert.DeepEqual(t, p.asked, []string{"home", "near", "near"})
+			f.now = f.now.Add(silentPoolInterval)
+			assert.NilError(t, n.Take(t.Context(), customer, "litters", 0))
+			assert.DeepEqual(t, p.asked, []string{"home", "near", "near", "home", "near"})
+		})
+	}
+}
+
+// TestRefusalForTheLimitAsksNoOtherPool covers a customer beyond its limit, whose requests must not multiply the messages.
+func TestRefusalForTheLimitAsksNoOtherPool(t *testing.T) {
+	f := newFleet(4)
+	n := f.nodes[0]
+	p := &pools{answers: map[string]message.PoolAnswer{"home": {WaitMillis: 700}, "near": {Granted: true}}}
+	n.messenger, n.view = p, manyControls{n}
+	err := n.Take(t.Context(), customer, "litters", time.Second)
+	refusal := (*figpier.Refusal)(nil)
+	assert.Assert(t, errors.As(err, &refusal))
+	assert.Equal(t, refusal.RetryAfter(), 700*time.Millisecond)
+	assert.DeepEqual(t, p.asked, []string{"home"})
+}
+
+// waitingNode is a node whose timers move the simulated clock and end at once.
+type waitingNode struct {
+	*node
+	waited time.Duration
+}
+
+func (w *waitingNode) AfterFunc(d time.Duration, f func()) (cancel func()) {
+	w.waited += d
+	w.fleet.now = w.fleet.now.Add(d)
+	f()
+	return func() {}
+}
+
+// TestRequestWaitsWhileNoPoolAnswers replays a restart of all control instances: a request that can wait is admitted once they
+// are back, and one that can't is refused.
+func TestRequestWaitsWhileNoPoolAnswers(t *testing.T) {
+	for _, c := range []struct {
+		patience time.Duration
+		admitted bool
+	}{{patience: 200 * time.Millisecond}, {patience: time.Second, admitted: true}} {
+		f := newFleet(4)
+		n := f.nodes[0]
+		// The window after the start is over, and the node has just polled, so that it neither borrows nor spends alone.
+		f.now = f.now.Add(time.Hour)
+		n.started, n.polled = f.now, f.now
+		back := f.now.Add(500 * time.Millisecond)
+		n.reachesControl = func() bool { return !f.now.Before(back) }
+		w := &waitingNode{node: n}
+		n.clock = w
+		err := n.Take(t.Context(), customer, "litters", c.patience)
+		assert.Equal(t, err == nil, c.admitted, "%v", err)
+		assert.Assert(t, w.waited <= c.patience)
+	}
+}
+
+func TestReservedTokenIsWaitedFor(t *testing.T) {
+	f := newFleet(4)
+	n := f.nodes[0]
+	n.messenger = &pools{answers: map[string]message.PoolAnswer{"control": {Granted: true, WaitMillis: 120}}}
+	w := &waitingNode{node: n}
+	n.clock = w
+	assert.NilError(t, n.Take(t.Context(), customer, "litters", time.Second))
+	assert.Equal(t, w.waited, 120*time.Millisecond)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	n.clock = n // its timers never end
+	err := n.Take(ctx, customer, "litters", time.Second)
+	refusal := (*figpier.Refusal)(nil)
+	assert.Assert(t, errors.As(err, &refusal))
+	assert.Equal(t, refusal.Reason(), figpier.RefusalGivenUp)
+}
--- a/internal/traffic/tablegate/gate.go
+++ b/internal/traffic/tablegate/gate.go
@@ -14,6 +14,14 @@
 // its first poll.
 const notReadyRetryAfter = time.Second
 
+// Parts of a request's time that it may wait before it is sent on; the rest is left to its run.
+const (
+	// patienceFraction is the part of the route's target latency, or of the time until the deadline if that is less.
+	patienceFraction = 0.5
+	// tableWaitDivisor divides the time until the deadline while the route is not known.
+	tableWaitDivisor = 4
+)
+
 // Config holds the settings of a Gate.
 type Config struct {
 	// Service is the service on whose instance the callers run; calls carry it as their caller's service.
@@ -54,11 +62,12 @@
 // Stop implements figpier.Service.
 func (g *Gate) Stop(context.Context) error { return nil }
 
-// Enter implements figpier.Gate.
+// Enter implements figpier.Gate. A request waits a part of its time for a view that can admit it, because a node that has just
+// started, or has lost its control instance, mostly gets one within a second.
 func (g *Gate) Enter(ctx context.Context, a *figpier.Arrival) (*figpier.Call, error) {
-	t := g.view.Configuration().Table()
-	if t == nil {
-		return nil, figpier.NewRefusal(figpier.RefusalConfig{Reason: figpier.RefusalNotReady, RetryAfter: notReadyRetryAfter})
+	t, err := g.awaitTable(ctx, a)
+	if err != nil {
+		return nil, err
 	}
 	route, ok := t.Route(a.Host(), a.Path())
 	if !ok {
@@ -73,7 +82,12 @@
 		Idempotent:    route.Idempotent(),
 		CallerService: g.config.Service,
 	}
-	account, digest, err := g.identify(t, route, a)
+	patience := c.Deadline.Sub(a.Received())
+	if route.Target() > 0 {
+		patience = min(patience, route.Target())
+	}
+	patience = time.Duration(patienceFraction * float64(patience))
+	account, digest, err := g.identify(ctx, t, route, a, patience)
 	if err != nil {
 		return figpier.NewCall(c), err
 	}
@@ -85,7 +99,7 @@
 		return figpier.NewCall(c), err
 	}
 	if account != nil {
-		if err := g.limiter.Take(ctx, c.Customer, c.Service); err != nil {
+		if err := g.limiter.Take(ctx, c.Customer, c.Service, a.Received().Add(patience).Sub(g.clock.Now())); err != nil {
 			return figpier.NewCall(c), err
 		}
 	}
@@ -93,6 +107,41 @@
 	return figpier.NewCall(c), nil
 }
 
+// awaitTable returns the routing table, which a node that has just started may get while the request waits.
+func (g *Gate) awaitTable(ctx context.Context, a *figpier.Arrival) (*figpier.Table, error) {
+	patience := notReadyRetryAfter
+	if a.Remaining() > 0 {
+		patience = min(patience, a.Remaining()/tableWaitDivisor)
+	}
+	known := func() bool { return g.view.Configuration().Table() != nil }
+	if !g.await(ctx, a.Received().Add(patience), known) {
+		return nil, figpier.NewRefusal(figpier.RefusalConfig{Reason: figpier.RefusalNotReady, RetryAfter: notReadyRetryAfter})
+	}
+	return g.view.Configuration().Table(), nil
+}
+
+// await waits until a condition on the view is met, and reports whether it was before giveUp and the end of the context.
+func (g *Gate) await(ctx context.Context, giveUp time.Time, met func() bool) bool {
+	changed := g.view.Changed()
+	if met() {
+		return true
+	}
+	over := make(chan struct{})
+	cancel := g.clock.AfterFunc(giveUp.Sub(g.clock.Now()), func() { close(over) })
+	defer cancel()
+	for !met() {
+		select {
+		case <-changed:
+			changed = g.view.Changed()
+		case <-over:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // In a table with customers, a request's priority class is made of its customer's class and its route's class, of which the
 // customer's weighs more. Class 0, the highest, is for requests without a customer.
 const (
@@ -139,8 +188,8 @@
 }
 
 // identify returns the account whose key came with the request, and the key's digest. The account is nil on an open route and
-// in a table without keys.
-func (g *Gate) identify(t *figpier.Table, r *figpier.HostRoute, a *figpier.Arrival) (*figpier.Account, figpier.KeyDigest, error) {
+// in a table without keys. It waits for a fresh view until patience is over.
+func (g *Gate) identify(ctx context.Context, t *figpier.Table, r *figpier.HostRoute, a *figpier.Arrival, patience time.Duration) (*figpier.Account, figpier.KeyDigest, error) {
 	var none figpier.KeyDigest
 	if r.Open() || !t.Keyed() {
 		return nil, none, nil
@@ -148,9 +197,14 @@
 	if len(a.Keys()) == 0 {
 		return nil, none, figpier.Refuse(figpier.RefusalKeyMissing)
 	}
-	if !g.view.Fresh(g.clock.Now()) {
+	fresh := func() bool { return g.view.Fresh(g.clock.Now()) }
+	if !g.await(ctx, a.Received().Add(patience), fresh) {
 		return nil, none, figpier.NewRefusal(figpier.RefusalConfig{Reason: figpier.RefusalStaleView, RetryAfter: notReadyRetryAfter})
 	}
+	if newer := g.view.Configuration().Table(); newer != nil {
+		// The key may have been withdrawn while the request waited.
+		t = newer
+	}
 	// Keys are looked up by digest, so that the duration of a lookup reveals nothing about the secret.
 	digest := figpier.KeyDigest(sha256.Sum256([]byte(a.Keys()[0])))
 	account, ok := t.AccountOf(digest)
--- a/internal/wire/message/messages.go
+++ b/internal/wire/message/messages.go
@@ -1069,6 +1069,10 @@
 	// Settled is true when the registry has run long enough for every live member to
 	// have announced itself.
 	Settled bool `json:"settled" msgpack:"settled"`
+
+	// Uncounted is true when the control instance is not current: the poll does not
+	// count for the division of limits, and the answer says nothing else.
+	Uncounted *bool `json:"uncounted,omitempty,omitzero" msgpack:"uncounted,omitempty"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -1158,7 +1162,8 @@
 	// Paid is the number of owed tokens that the pool deducted.
 	Paid int `json:"paid" msgpack:"paid"`
 
-	// WaitMillis is the time until the pool has a token, when none is granted.
+	// WaitMillis is the time until the pool has a token: how long the request has to
+	// wait if the token is granted, else when to ask again.
 	WaitMillis int `json:"waitMillis" msgpack:"waitMillis"`
 }
 
--- a/test/path/fakes_test.go
+++ b/test/path/fakes_test.go
@@ -89,6 +89,10 @@
 
 func (v *fakeView) ControlAddress() string { return "" }
 
+func (v *fakeView) ControlAddresses() []string { return nil }
+
+func (v *fakeView) Changed() <-chan struct{} { return nil }
+
 func (v *fakeView) Members(s figpier.UpstreamService) []*figpier.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/traffic.go
+++ b/traffic.go
@@ -22,6 +22,11 @@
 	// ControlAddress returns the message address of the control instance that last answered a poll, empty before the first
 	// answer.
 	ControlAddress() string
+	// ControlAddresses returns the message addresses of the known control instances: the one that last answered a poll, and
+	// then the others from near to far.
+	ControlAddresses() []string
+	// Changed returns a channel that is closed when the view next changes or is confirmed.
+	Changed() <-chan struct{}
 	// LastPoll returns the time at which the last answered poll was sent, zero before the first answer.
 	LastPoll() time.Time
 	// Subscribe registers a function that runs on the control thread after each installed configuration.
@@ -255,8 +260,9 @@
 // Limiter enforces the rate limits of customers over all nodes together.
 type Limiter interface {
 	Service
-	// Take spends one token of a customer's rate limit at a service, or returns a *Refusal.
-	Take(ctx context.Context, c CustomerID, s UpstreamService) error
+	// Take spends one token of a customer's rate limit at a service, or returns a *Refusal. patience is how long the request can
+	// wait for its token at most.
+	Take(ctx context.Context, c CustomerID, s UpstreamService, patience time.Duration) error
 }
 
 // Claims ensures that a non-idempotent request with an idempotency key runs at most once over all nodes together.
