Refuse the least important requests of a customer at its limit first

Cause: a customer at its limit got tokens in the order of arrival, so that bookings were refused as often as lookups. Change: a request below the highest class leaves a part of the bucket, here and in the pools that it asks for transfers, to those above it.

--- a/internal/control/operator/node_test.go
+++ b/internal/control/operator/node_test.go
@@ -22,11 +22,11 @@
 // fakeRegistry holds one node, dates-1.
 type fakeRegistry struct{ noopService }
 
-func (fakeRegistry) Name() figpier.ServiceName               { return figpier.RegistryService }
+func (fakeRegistry) Name() figpier.ServiceName                     { return figpier.RegistryService }
 func (fakeRegistry) Announce(*figpier.Member, time.Duration, bool) {}
-func (fakeRegistry) ID() string                              { return "r" }
-func (fakeRegistry) Settled(time.Time) bool                  { return true }
-func (fakeRegistry) Count() int                              { return 1 }
+func (fakeRegistry) ID() string                                    { return "r" }
+func (fakeRegistry) Settled(time.Time) bool                        { return true }
+func (fakeRegistry) Count() int                                    { return 1 }
 
 func (fakeRegistry) CountPolling(time.Time) (local, all int) { return 1, 1 }
 func (fakeRegistry) RemoveSource(figpier.InstanceID)         {}
--- a/internal/control/pool/pool.go
+++ b/internal/control/pool/pool.go
@@ -106,7 +106,7 @@
 	if a.Granted {
 		return a, nil
 	}
-	p.requestTransfer(ctx, figpier.CustomerID(m.Customer))
+	p.requestTransfer(ctx, figpier.CustomerID(m.Customer), m.Priority)
 	m.Owed = 0
 	paid := a.Paid
 	a = p.grant(p.clock.Now(), m, polling, all, p.quotas.Reserve)
@@ -115,7 +115,7 @@
 }
 
 // spend is quota.Table.Take or quota.Table.Reserve.
-type spend func(now time.Time, c figpier.CustomerID, l figpier.Limit, share float64) (wait time.Duration, ok bool)
+type spend func(now time.Time, c figpier.CustomerID, l figpier.Limit, share float64, p figpier.PriorityClass) (wait time.Duration, ok bool)
 
 // grant takes the tokens that the node owes and then one more from a customer's pool. For a customer without an account it
 // always grants, as the node may know a newer routing table.
@@ -129,10 +129,18 @@
 	defer p.mu.Unlock()
 	share := p.quotas.PoolShare(limit, polling, all)
 	paid := p.quotas.Settle(now, c, limit, share, m.Owed)
-	wait, granted := one(now, c, limit, share)
+	wait, granted := one(now, c, limit, share, priorityOf(m.Priority))
 	return message.PoolAnswer{Granted: granted, WaitMillis: ceilMillis(wait), Paid: paid}
 }
 
+// priorityOf returns the priority class in a message, within the range of the classes.
+func priorityOf(class *int) figpier.PriorityClass {
+	if class == nil {
+		return figpier.HighestPriority
+	}
+	return figpier.PriorityClass(min(max(*class, int(figpier.HighestPriority)), int(figpier.LowestPriority)))
+}
+
 // ceilMillis rounds a wait up to milliseconds, so that no node retries too soon and a wait under 1 ms is not sent as 0.
 func ceilMillis(wait time.Duration) int {
 	return int((wait + time.Millisecond - 1).Milliseconds())
--- a/internal/control/pool/transfer.go
+++ b/internal/control/pool/transfer.go
@@ -26,7 +26,7 @@
 }
 
 // requestTransfer asks the next control instance that may have tokens of a customer to spare, and reports whether it sent any.
-func (p *Pool) requestTransfer(ctx context.Context, c figpier.CustomerID) bool {
+func (p *Pool) requestTransfer(ctx context.Context, c figpier.CustomerID, priority *int) bool {
 	address, ok := p.nextDonor(c)
 	if !ok {
 		return false
@@ -34,7 +34,7 @@
 	bounded, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	var a message.TransferAnswer
-	err := p.messenger.Request(bounded, address, figpier.MethodTransfer, message.TransferAsk{Customer: string(c)}, &a)
+	err := p.messenger.Request(bounded, address, figpier.MethodTransfer, message.TransferAsk{Customer: string(c), Priority: priority}, &a)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.shortages[c]
@@ -89,5 +89,5 @@
 	polling, all := p.registry.CountPolling(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return message.TransferAnswer{Tokens: p.quotas.TakeAll(now, c, limit, p.quotas.PoolShare(limit, polling, all))}, nil
+	return message.TransferAnswer{Tokens: p.quotas.TakeAll(now, c, limit, p.quotas.PoolShare(limit, polling, all), priorityOf(m.Priority))}, nil
 }
--- a/internal/link/jsonrpc/messenger_test.go
+++ b/internal/link/jsonrpc/messenger_test.go
@@ -36,7 +36,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
-		ended <- k.Run(ctx, func() (context.Context, context.CancelFunc) { return context.WithTimeout(context.Background(), time.Second) })
+		ended <- k.Run(ctx, func() (context.Context, context.CancelFunc) {
+			return context.WithTimeout(context.Background(), time.Second)
+		})
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/internal/policy/quota/debt_test.go
+++ b/internal/policy/quota/debt_test.go
@@ -44,7 +44,7 @@
 	paid := p.Settle(now, "valv", l, 1, 3)
 	assert.Equal(t, paid, 3)
 	for range 100 {
-		p.Take(now, "valv", l, 1)
+		p.Take(now, "valv", l, 1, figpier.HighestPriority)
 	}
 	assert.Equal(t, p.Settle(now, "valv", l, 1, 3), 0)
 }
@@ -53,14 +53,14 @@
 	from, to := newTable(), newTable()
 	l := limit(10, 10)
 	now := start.Add(window)
-	tokens := from.TakeAll(now, figpier.CustomerID("valv"), l, 0.5)
+	tokens := from.TakeAll(now, figpier.CustomerID("valv"), l, 0.5, figpier.HighestPriority)
 	assert.Assert(t, tokens > 0)
-	_, left := from.Take(now, "valv", l, 0.5)
+	_, left := from.Take(now, "valv", l, 0.5, figpier.HighestPriority)
 	assert.Assert(t, !left, "transferred tokens can't be spent here")
 	to.Add("valv", tokens)
 	taken := 0
 	for {
-		if _, ok := to.Take(start, "valv", l, 0.5); !ok {
+		if _, ok := to.Take(start, "valv", l, 0.5, figpier.HighestPriority); !ok {
 			break
 		}
 		taken++
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -22,6 +22,10 @@
 	// startExcessFraction is the fraction of the allowed excess with which the buckets of a new table begin, if Config.Credit says
 	// so. It serves the first seconds after a restart; what is left of the excess covers a second restart within the window.
 	startExcessFraction = 0.25
+	// keptPerClass is the fraction of a bucket that requests of the highest priority class alone may spend, for each class that a
+	// request is below that one, and keptClasses is the number of classes that make a difference.
+	keptPerClass = 0.15
+	keptClasses  = 2
 	// maxReservation is the time ahead for which tokens are reserved.
 	maxReservation = 250 * time.Millisecond
 	// sweepInterval is the time between removals of unused buckets, and the age at which they are removed.
@@ -101,7 +105,7 @@
 // Settle spends up to owed tokens of a share for requests that a node admitted on credit, and returns the number spent.
 func (t *Table) Settle(now time.Time, c figpier.CustomerID, l figpier.Limit, share float64, owed int) (paid int) {
 	for paid < owed {
-		if _, ok := t.Take(now, c, l, share); !ok {
+		if _, ok := t.Take(now, c, l, share, figpier.HighestPriority); !ok {
 			return paid
 		}
 		paid++
@@ -109,13 +113,14 @@
 	return paid
 }
 
-// TakeAll takes all whole tokens of a customer for transfer to another table. A customer that is active here has few.
-func (t *Table) TakeAll(now time.Time, c figpier.CustomerID, l figpier.Limit, share float64) (tokens int) {
+// TakeAll takes all whole tokens of a customer that a request of a priority class may spend, for transfer to another table. A
+// customer that is active here has few.
+func (t *Table) TakeAll(now time.Time, c figpier.CustomerID, l figpier.Limit, share float64, p figpier.PriorityClass) (tokens int) {
 	if l.Rate() <= 0 || share <= 0 {
 		return 0
 	}
 	b := t.refill(now, c, l, share)
-	tokens = max(0, int(b.tokens))
+	tokens = max(0, int(b.tokens-t.keptTokens(l, share, p)))
 	b.tokens -= float64(tokens)
 	return tokens
 }
@@ -126,8 +131,9 @@
 }
 
 // Take spends a token from a share of a customer's limit, or returns the time until one is available. A rate of 0 or less is
-// no limit.
-func (t *Table) Take(now time.Time, c figpier.CustomerID, l figpier.Limit, share float64) (wait time.Duration, ok bool) {
+// no limit. A request below the highest priority class leaves a part of the bucket to those above it, so that a customer at its
+// limit loses its least important requests first.
+func (t *Table) Take(now time.Time, c figpier.CustomerID, l figpier.Limit, share float64, p figpier.PriorityClass) (wait time.Duration, ok bool) {
 	if l.Rate() <= 0 {
 		return 0, true
 	}
@@ -136,8 +142,9 @@
 	}
 	t.sweep(now)
 	b := t.refill(now, c, l, share)
-	if b.tokens < 1 {
-		return time.Duration((1 - b.tokens) / (l.Rate() * share) * float64(time.Second)), false
+	needed := 1 + t.keptTokens(l, share, p)
+	if b.tokens < needed {
+		return time.Duration((needed - b.tokens) / (l.Rate() * share) * float64(time.Second)), false
 	}
 	b.tokens--
 	return 0, true
@@ -145,8 +152,8 @@
 
 // Reserve spends a token like Take, or reserves one that will be earned within maxReservation. The request must then be held
 // for the returned time.
-func (t *Table) Reserve(now time.Time, c figpier.CustomerID, l figpier.Limit, share float64) (wait time.Duration, ok bool) {
-	wait, ok = t.Take(now, c, l, share)
+func (t *Table) Reserve(now time.Time, c figpier.CustomerID, l figpier.Limit, share float64, p figpier.PriorityClass) (wait time.Duration, ok bool) {
+	wait, ok = t.Take(now, c, l, share, p)
 	if ok || wait > maxReservation || share <= 0 {
 		return wait, ok
 	}
@@ -164,11 +171,22 @@
 		}
 	}
 	earned := l.Rate() * share * max(0, now.Sub(b.updated).Seconds())
-	b.tokens = math.Min(max(1, t.bucketDepth(l)*share), b.tokens+earned)
+	b.tokens = math.Min(t.maxTokens(l, share), b.tokens+earned)
 	b.updated = now
 	return b
 }
 
+// maxTokens returns the number of tokens at which the bucket of a share is full.
+func (t *Table) maxTokens(l figpier.Limit, share float64) float64 {
+	return max(1, t.bucketDepth(l)*share)
+}
+
+// keptTokens returns the number of tokens that a request of a class leaves in the bucket of a share. A full bucket always has
+// a token above them.
+func (t *Table) keptTokens(l figpier.Limit, share float64, p figpier.PriorityClass) float64 {
+	return keptPerClass * float64(min(p, keptClasses)) * (t.maxTokens(l, share) - 1)
+}
+
 // bucketDepth returns the depth of the whole limit: its burst and a fraction of the allowed excess.
 func (t *Table) bucketDepth(l figpier.Limit) float64 {
 	return l.Burst() + bucketExcessFraction*t.allowedExcess(l)
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -44,7 +44,7 @@
 		var taken []time.Time
 		for at := time.Duration(0); at < 30*time.Second; at += 2 * time.Millisecond {
 			now := start.Add(at)
-			if _, ok := p.Take(now, "valv", l, 1); ok {
+			if _, ok := p.Take(now, "valv", l, 1, figpier.HighestPriority); ok {
 				taken = append(taken, now)
 			}
 		}
@@ -64,12 +64,12 @@
 
 func TestNewTableStartsWithEmptyBuckets(t *testing.T) {
 	p := newTable()
-	_, ok := p.Take(start, "valv", limit(10, 50), 1)
+	_, ok := p.Take(start, "valv", limit(10, 50), 1, figpier.HighestPriority)
 	assert.Assert(t, !ok, "a new bucket must be empty")
-	wait, ok := p.Take(start.Add(50*time.Millisecond), "valv", limit(10, 50), 1)
+	wait, ok := p.Take(start.Add(50*time.Millisecond), "valv", limit(10, 50), 1, figpier.HighestPriority)
 	assert.Assert(t, !ok)
 	assert.Equal(t, wait, 50*time.Millisecond)
-	_, ok = p.Take(start.Add(100*time.Millisecond), "valv", limit(10, 50), 1)
+	_, ok = p.Take(start.Add(100*time.Millisecond), "valv", limit(10, 50), 1, figpier.HighestPriority)
 	assert.Assert(t, ok)
 }
 
@@ -81,7 +81,7 @@
 }
 
 func TestZeroRateIsUnlimited(t *testing.T) {
-	_, ok := newTable().Take(start, "valv", limit(0, 0), 0)
+	_, ok := newTable().Take(start, "valv", limit(0, 0), 0, figpier.HighestPriority)
 	assert.Assert(t, ok)
 }
 
@@ -96,7 +96,7 @@
 			if at%(6*time.Second) == 0 && at > 0 {
 				p = New(Config{Window: window, OverageFraction: 0.1, SlackRequests: 20, Start: now, Credit: true})
 			}
-			if wait, ok := p.Reserve(now, "valv", l, 1); ok {
+			if wait, ok := p.Reserve(now, "valv", l, 1, figpier.HighestPriority); ok {
 				assert.Assert(t, wait <= maxReservation)
 				sent = append(sent, now.Add(wait))
 			}
@@ -117,9 +117,42 @@
 	p := New(Config{Window: window, OverageFraction: 0.1, SlackRequests: 20, Start: start, Credit: true})
 	granted := 0
 	for range 100 {
-		if _, ok := p.Take(start, "valv", limit(4, 4), 1); ok {
+		if _, ok := p.Take(start, "valv", limit(4, 4), 1, figpier.HighestPriority); ok {
 			granted++
 		}
 	}
 	assert.Equal(t, granted, 5)
 }
+
+// TestCustomerAtItsLimitLosesItsLeastImportantRequestsFirst replays a customer that sends three times its limit, a third of it in
+// the highest class.
+func TestCustomerAtItsLimitLosesItsLeastImportantRequestsFirst(t *testing.T) {
+	for _, l := range []figpier.Limit{limit(8, 8), limit(60, 60)} {
+		p := newTable()
+		var offered, taken [3]int
+		step := time.Duration(float64(time.Second) / (3 * l.Rate()))
+		for i, at := 0, 10*time.Second; at < 40*time.Second; i, at = i+1, at+step {
+			class := i % 3
+			offered[class]++
+			if _, ok := p.Take(start.Add(at), "valv", l, 0.2, figpier.PriorityClass(class)); ok {
+				taken[class]++
+			}
+		}
+		share := func(class int) float64 { return float64(taken[class]) / float64(offered[class]) }
+		// A fifth of the limit is a fifteenth of what is offered, all of which goes to the highest class once the bucket is low.
+		assert.Assert(t, share(0) > 4*share(1), "limit %v: %v of %v", l, taken, offered)
+		assert.Assert(t, share(1) >= share(2), "limit %v: %v of %v", l, taken, offered)
+		assert.Assert(t, float64(taken[0]+taken[1]+taken[2]) > 0.9*l.Rate()*0.2*30, "limit %v: %v", l, taken)
+	}
+}
+
+// TestCustomerWithinItsLimitLosesNoRequest covers the same classes at a rate that the limit allows.
+func TestCustomerWithinItsLimitLosesNoRequest(t *testing.T) {
+	l := limit(60, 60)
+	p := newTable()
+	step := time.Duration(float64(time.Second) / (0.8 * l.Rate() * 0.2))
+	for i, at := 0, 10*time.Second; at < 40*time.Second; i, at = i+1, at+step {
+		_, ok := p.Take(start.Add(at), "valv", l, 0.2, figpier.PriorityClass(i%3))
+		assert.Assert(t, ok, "at %v", at)
+	}
+}
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -95,7 +95,12 @@
 	if c.Customer == "" {
 		return nil
 	}
-	return g.limiter.Take(ctx, c.Customer, c.Service, c.Deadline.Sub(g.clock.Now()))
+	return g.limiter.Take(ctx, figpier.NewTokenRequest(figpier.TokenRequestConfig{
+		Customer: c.Customer,
+		Service:  c.Service,
+		Priority: c.Priority,
+		Patience: c.Deadline.Sub(g.clock.Now()),
+	}))
 }
 
 // identify returns the customer whose key came with the request, and the key's digest. Both are zero on an open route.
--- a/internal/traffic/gate/gate_test.go
+++ b/internal/traffic/gate/gate_test.go
@@ -43,7 +43,7 @@
 
 func (v *fakeView) Fresh(time.Time) bool { return !v.stale }
 
-func (l *fakeLimiter) Take(context.Context, figpier.CustomerID, figpier.UpstreamService, time.Duration) error {
+func (l *fakeLimiter) Take(context.Context, figpier.TokenRequest) error {
 	l.taken++
 	return l.err
 }
--- a/internal/traffic/limiter/limiter.go
+++ b/internal/traffic/limiter/limiter.go
@@ -81,11 +81,11 @@
 func (l *Limiter) Stop(context.Context) error { return nil }
 
 // Take implements figpier.Limiter. A request waits for at most Config.MaxWait.
-func (l *Limiter) Take(ctx context.Context, c figpier.CustomerID, s figpier.UpstreamService, _ time.Duration) error {
-	if _, ok := l.view.Configuration().ProfileOf(s); !ok {
+func (l *Limiter) Take(ctx context.Context, r figpier.TokenRequest) error {
+	if _, ok := l.view.Configuration().ProfileOf(r.Service()); !ok {
 		return figpier.Refuse(figpier.RefusalNoProfile)
 	}
-	return l.acquireSource(sourceKey{customer: c, service: s}).take(ctx)
+	return l.acquireSource(sourceKey{customer: r.Customer(), service: r.Service()}).take(ctx)
 }
 
 // acquireSource returns the token source of a key and counts its caller as a user until releaseSource.
--- a/internal/traffic/quota/limiter.go
+++ b/internal/traffic/quota/limiter.go
@@ -112,17 +112,17 @@
 
 // Take implements figpier.Limiter. The limit applies to all services together. While no pool grants tokens, the request tries
 // again until its patience is over, as control instances that restart are back within seconds.
-func (l *Limiter) Take(ctx context.Context, c figpier.CustomerID, _ figpier.UpstreamService, patience time.Duration) error {
-	limit, ok := l.accountLimit(c)
+func (l *Limiter) Take(ctx context.Context, r figpier.TokenRequest) error {
+	limit, ok := l.accountLimit(r.Customer())
 	if !ok {
 		return nil
 	}
-	giveUp := l.clock.Now().Add(patience)
+	giveUp := l.clock.Now().Add(r.Patience())
 	for {
-		if l.takeOwn(c, limit) {
+		if l.takeOwn(r, limit) {
 			return nil
 		}
-		t := l.takeFromPool(ctx, c, limit)
+		t := l.takeFromPool(ctx, r, limit)
 		switch {
 		case t.granted:
 			return l.wait(ctx, t.wait)
@@ -161,12 +161,12 @@
 }
 
 // takeFromPool asks the near pools for a token, and falls back to credit or the node's part of the pool.
-func (l *Limiter) takeFromPool(ctx context.Context, c figpier.CustomerID, limit figpier.Limit) taking {
+func (l *Limiter) takeFromPool(ctx context.Context, r figpier.TokenRequest, limit figpier.Limit) taking {
 	var err error
 	idle := false
 	for _, address := range l.poolsToAsk() {
 		var a message.PoolAnswer
-		if a, err = l.askPool(ctx, address, c); err == nil && !a.Idle {
+		if a, err = l.askPool(ctx, address, r); err == nil && !a.Idle {
 			l.poolAnswered()
 			return taking{granted: a.Granted, answered: true, wait: time.Duration(a.WaitMillis) * time.Millisecond}
 		}
@@ -175,9 +175,9 @@
 	}
 	var t taking
 	if idle {
-		t.wait, t.granted = l.takeWhilePoolIdle(c, limit)
+		t.wait, t.granted = l.takeWhilePoolIdle(r, limit)
 	} else {
-		t.wait, t.granted = l.takeUnanswered(c, limit, err)
+		t.wait, t.granted = l.takeUnanswered(r, limit, err)
 	}
 	if t.granted {
 		t.wait = 0
@@ -227,21 +227,25 @@
 }
 
 // takeOwn spends a token of the node's own share.
-func (l *Limiter) takeOwn(c figpier.CustomerID, limit figpier.Limit) bool {
+func (l *Limiter) takeOwn(r figpier.TokenRequest, limit figpier.Limit) bool {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, ok := l.nodeTable.Take(now, c, limit, l.nodeTable.NodeShare(limit, l.countNodes(now)))
+	_, ok := l.nodeTable.Take(now, r.Customer(), limit, l.nodeTable.NodeShare(limit, l.countNodes(now)), r.Priority())
 	return ok
 }
 
 // askPool asks a control instance for a token, and repays the customer's debt.
-func (l *Limiter) askPool(ctx context.Context, address string, c figpier.CustomerID) (message.PoolAnswer, error) {
+func (l *Limiter) askPool(ctx context.Context, address string, r figpier.TokenRequest) (message.PoolAnswer, error) {
+	c := r.Customer()
 	askCtx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	l.mu.Lock()
 	m := message.PoolAsk{Customer: string(c), Owed: l.debt.Owed(c), Nodes: l.countNodes(l.clock.Now())}
 	l.mu.Unlock()
+	if p := int(r.Priority()); p > 0 {
+		m.Priority = &p
+	}
 	var a message.PoolAnswer
 	err := l.messenger.Request(askCtx, address, figpier.MethodPool, m, &a)
 	if err == nil && a.Paid > 0 {
@@ -254,7 +258,7 @@
 
 // takeUnanswered handles a failed request to the pool. It admits on credit while the pool may still count this node, and
 // spends the node's part of the pool after poolLossTime.
-func (l *Limiter) takeUnanswered(c figpier.CustomerID, limit figpier.Limit, cause error) (wait time.Duration, ok bool) {
+func (l *Limiter) takeUnanswered(r figpier.TokenRequest, limit figpier.Limit, cause error) (wait time.Duration, ok bool) {
 	now := l.clock.Now()
 	sincePoll := now.Sub(l.view.LastPoll())
 	l.mu.Lock()
@@ -264,19 +268,19 @@
 		l.config.Log.WithError(cause).WithFields(logrus.Fields{
 			"control":  l.view.ControlAddress(),
 			"polled":   sincePoll.String(),
-			"customer": string(c),
+			"customer": string(r.Customer()),
 			"alone":    sincePoll > poolLossTime,
 		}).Warn("the pool of customers' limits does not answer")
 	}
 	if sincePoll <= poolLossTime {
-		return unansweredRetryAfter, l.borrow(now, c, limit)
+		return unansweredRetryAfter, l.borrow(now, r.Customer(), limit)
 	}
-	return l.takeAlone(now, c, limit)
+	return l.takeAlone(now, r, limit)
 }
 
 // takeWhilePoolIdle handles a pool that does not grant tokens yet. It admits on credit until no previous pool can still
 // count this node, and spends the node's part of the pool after that.
-func (l *Limiter) takeWhilePoolIdle(c figpier.CustomerID, limit figpier.Limit) (wait time.Duration, ok bool) {
+func (l *Limiter) takeWhilePoolIdle(r figpier.TokenRequest, limit figpier.Limit) (wait time.Duration, ok bool) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -284,9 +288,9 @@
 		l.idleControl, l.idleSince = control, now
 	}
 	if now.Sub(l.idleSince) <= poolLossTime {
-		return unansweredRetryAfter, l.borrow(now, c, limit)
+		return unansweredRetryAfter, l.borrow(now, r.Customer(), limit)
 	}
-	return l.takeAlone(now, c, limit)
+	return l.takeAlone(now, r, limit)
 }
 
 // borrow admits a request on credit, but not in the first Window after the start, because the debt of the previous process is
@@ -299,12 +303,12 @@
 }
 
 // takeAlone spends a token of the node's part of the pool. l.mu must be held.
-func (l *Limiter) takeAlone(now time.Time, c figpier.CustomerID, limit figpier.Limit) (wait time.Duration, ok bool) {
+func (l *Limiter) takeAlone(now time.Time, r figpier.TokenRequest, limit figpier.Limit) (wait time.Duration, ok bool) {
 	if l.aloneTable == nil {
 		// The table starts empty, because the pool may have spent this node's part until now.
 		l.aloneTable = l.newTable(now)
 	}
-	return l.aloneTable.Take(now, c, limit, l.aloneTable.IsolatedShare(limit, l.countNodes(now)))
+	return l.aloneTable.Take(now, r.Customer(), limit, l.aloneTable.IsolatedShare(limit, l.countNodes(now)), r.Priority())
 }
 
 // poolAnswered goes back to the pool after it has answered.
--- a/internal/traffic/quota/limiter_test.go
+++ b/internal/traffic/quota/limiter_test.go
@@ -77,7 +77,7 @@
 			if i%5 == 0 && n.reachesControl() {
 				n.polled = f.now
 			}
-			if n.Take(t.Context(), customer, "litters", 0) == nil {
+			if n.Take(t.Context(), tokenRequest(0)) == nil {
 				f.taken = append(f.taken, f.now)
 			}
 		}
@@ -107,6 +107,11 @@
 	return most
 }
 
+// tokenRequest returns a request of the customer that can wait for a time.
+func tokenRequest(patience time.Duration) figpier.TokenRequest {
+	return figpier.NewTokenRequest(figpier.TokenRequestConfig{Customer: customer, Service: "litters", Patience: patience})
+}
+
 // allowedInWindow returns the largest number of requests that may be admitted within one window.
 func (f *fleet) allowedInWindow() float64 {
 	return (f.limit.Rate()*window.Seconds()+f.limit.Burst())*(1+overage) + slack
@@ -149,7 +154,7 @@
 	f := n.fleet
 	share := f.pool.PoolShare(f.limit, f.countedNodes(), fleetNodes)
 	paid := f.pool.Settle(f.now, customer, f.limit, share, ask.(message.PoolAsk).Owed)
-	wait, granted := f.pool.Take(f.now, customer, f.limit, share)
+	wait, granted := f.pool.Take(f.now, customer, f.limit, share, figpier.HighestPriority)
 	*answer.(*message.PoolAnswer) = message.PoolAnswer{Granted: granted, WaitMillis: int(wait.Milliseconds()), Paid: paid}
 	return nil
 }
@@ -244,14 +249,14 @@
 			n := f.nodes[0]
 			p := &pools{answers: home}
 			n.messenger, n.view = p, manyControls{n}
-			assert.NilError(t, n.Take(t.Context(), customer, "litters", 0))
+			assert.NilError(t, n.Take(t.Context(), tokenRequest(0)))
 			assert.DeepEqual(t, p.asked, []string{"home", "near"})
 
 			// The pool that granted nothing is not asked again at once, and later it is.
-			assert.NilError(t, n.Take(t.Context(), customer, "litters", 0))
+			assert.NilError(t, n.Take(t.Context(), tokenRequest(0)))
 			assert.DeepEqual(t, p.asked, []string{"home", "near", "near"})
 			f.now = f.now.Add(silentPoolInterval)
-			assert.NilError(t, n.Take(t.Context(), customer, "litters", 0))
+			assert.NilError(t, n.Take(t.Context(), tokenRequest(0)))
 			assert.DeepEqual(t, p.asked, []string{"home", "near", "near", "home", "near"})
 		})
 	}
@@ -263,7 +268,7 @@
 	n := f.nodes[0]
 	p := &pools{answers: map[string]message.PoolAnswer{"home": {WaitMillis: 700}, "near": {Granted: true}}}
 	n.messenger, n.view = p, manyControls{n}
-	err := n.Take(t.Context(), customer, "litters", time.Second)
+	err := n.Take(t.Context(), tokenRequest(time.Second))
 	refusal := (*figpier.Refusal)(nil)
 	assert.Assert(t, errors.As(err, &refusal))
 	assert.Equal(t, refusal.RetryAfter(), 700*time.Millisecond)
@@ -299,7 +304,7 @@
 		n.reachesControl = func() bool { return !f.now.Before(back) }
 		w := &waitingNode{node: n}
 		n.clock = w
-		err := n.Take(t.Context(), customer, "litters", c.patience)
+		err := n.Take(t.Context(), tokenRequest(c.patience))
 		assert.Equal(t, err == nil, c.admitted, "%v", err)
 		assert.Assert(t, w.waited <= c.patience)
 	}
@@ -311,13 +316,13 @@
 	n.messenger = &pools{answers: map[string]message.PoolAnswer{"control": {Granted: true, WaitMillis: 120}}}
 	w := &waitingNode{node: n}
 	n.clock = w
-	assert.NilError(t, n.Take(t.Context(), customer, "litters", time.Second))
+	assert.NilError(t, n.Take(t.Context(), tokenRequest(time.Second)))
 	assert.Equal(t, w.waited, 120*time.Millisecond)
 
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	n.clock = n // its timers never end
-	err := n.Take(ctx, customer, "litters", time.Second)
+	err := n.Take(ctx, tokenRequest(time.Second))
 	refusal := (*figpier.Refusal)(nil)
 	assert.Assert(t, errors.As(err, &refusal))
 	assert.Equal(t, refusal.Reason(), figpier.RefusalGivenUp)
--- a/internal/traffic/shards/failures_test.go
+++ b/internal/traffic/shards/failures_test.go
@@ -192,7 +192,7 @@
 			p := nodes[r.IntN(len(nodes))]
 			arrivals++
 			callers.Go(func() {
-				if err := p.limiter.Take(t.Context(), customer, testService, 0); err != nil {
+				if err := p.limiter.Take(t.Context(), figpier.NewTokenRequest(figpier.TokenRequestConfig{Customer: customer, Service: testService})); err != nil {
 					c.countRefusal(err)
 					return
 				}
--- a/internal/traffic/tablegate/gate.go
+++ b/internal/traffic/tablegate/gate.go
@@ -99,7 +99,13 @@
 		return figpier.NewCall(c), err
 	}
 	if account != nil {
-		if err := g.limiter.Take(ctx, c.Customer, c.Service, a.Received().Add(patience).Sub(g.clock.Now())); err != nil {
+		token := figpier.NewTokenRequest(figpier.TokenRequestConfig{
+			Customer: c.Customer,
+			Service:  c.Service,
+			Priority: route.Priority(),
+			Patience: a.Received().Add(patience).Sub(g.clock.Now()),
+		})
+		if err := g.limiter.Take(ctx, token); err != nil {
 			return figpier.NewCall(c), err
 		}
 	}
--- a/internal/wire/message/messages.go
+++ b/internal/wire/message/messages.go
@@ -1205,6 +1205,9 @@
 	// Owed is the number of tokens that the node spent while no pool answered and
 	// that the pool has yet to deduct.
 	Owed int `json:"owed" msgpack:"owed"`
+
+	// Priority is the priority class of the request's route, absent for the highest.
+	Priority *int `json:"priority,omitempty,omitzero" msgpack:"priority,omitempty"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -2249,6 +2252,10 @@
 type TransferAsk struct {
 	// Customer corresponds to the JSON schema field "customer".
 	Customer string `json:"customer" msgpack:"customer"`
+
+	// Priority is the priority class of the request that needs a token, absent for
+	// the highest.
+	Priority *int `json:"priority,omitempty,omitzero" msgpack:"priority,omitempty"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
--- a/traffic.go
+++ b/traffic.go
@@ -260,9 +260,8 @@
 // Limiter enforces the rate limits of customers over all nodes together.
 type Limiter interface {
 	Service
-	// Take spends one token of a customer's rate limit at a service, or returns a *Refusal. patience is how long the request can
-	// wait for its token at most.
-	Take(ctx context.Context, c CustomerID, s UpstreamService, patience time.Duration) error
+	// Take spends one token of a customer's rate limit, or returns a *Refusal.
+	Take(ctx context.Context, r TokenRequest) error
 }
 
 // Claims ensures that a non-idempotent request with an idempotency key runs at most once over all nodes together.
