--- a/internal/command/profileapply/run.go
+++ b/internal/command/profileapply/run.go
@@ -73,11 +73,15 @@
 	return print.Line(o.factory.Out(), "profile %s is at revision %d", name, receipt.Revision)
 }
 
-// readFile reads the profile file or, up to profile.MaxSize, standard input.
+// readFile reads the profile file, or standard input, which may have up to profile.MaxSize bytes.
 func (o *options) readFile() ([]byte, error) {
 	if o.file == standardInput || o.file == "" {
 		o.file = standardInput
-		return io.ReadAll(io.LimitReader(o.factory.In(), profile.MaxSize))
+		text, err := io.ReadAll(io.LimitReader(o.factory.In(), profile.MaxSize+1))
+		if err == nil && len(text) > profile.MaxSize {
+			return nil, Error.New("standard input has more than %d bytes: a profile is at most that large", profile.MaxSize)
+		}
+		return text, err
 	}
 	return os.ReadFile(o.file)
 }
--- a/internal/control/operator/failure.go
+++ b/internal/control/operator/failure.go
@@ -78,7 +78,7 @@
 
 // Error implements error.
 func (*StaleReadError) Error() string {
-	return fmt.Sprintf("this control instance has had no contact with a quorum for %v: ask another one", maxQuorumAge)
+	return fmt.Sprintf("this control instance had no contact with a quorum in the last %v: ask another one", maxQuorumAge)
 }
 
 func newUnauthorizedFailure() *api.Failure {
--- a/internal/control/replica/handle.go
+++ b/internal/control/replica/handle.go
@@ -26,6 +26,14 @@
 	}
 	l.handingOver = true
 	if !l.machine.TransferLeadership() {
+		l.endHandOver()
+	}
+}
+
+// endHandOver reports that a hand-over has ended, once: a leader that could not hand over may step down later.
+func (l *Log) endHandOver() {
+	if !l.handOverEnded {
+		l.handOverEnded = true
 		close(l.handedOver)
 	}
 }
@@ -170,7 +178,7 @@
 		l.log.WithFields(map[string]any{"leader": string(s.leader), "term": l.machine.Term()}).Info("the leader changed")
 	}
 	if l.handingOver && previous.leading && !s.leading {
-		close(l.handedOver)
+		l.endHandOver()
 	}
 }
 
--- a/internal/control/replica/history_test.go
+++ b/internal/control/replica/history_test.go
@@ -128,6 +128,10 @@
 	const operators, edits = 3, 20
 	c := newCluster(t)
 	c.waitForLeader()
+	// Until the others have the founding entry nothing can be accepted, and only the founder can go on.
+	for _, i := range c.instances {
+		c.waitUntilVoter(i)
+	}
 	h := &history{start: time.Now()}
 	var group sync.WaitGroup
 	for n := range operators {
--- a/internal/control/replica/service.go
+++ b/internal/control/replica/service.go
@@ -108,6 +108,7 @@
 	pendingWrites int
 	failed        bool
 	handingOver   bool
+	handOverEnded bool
 	// wasVoter says that this member has been a voter since the process started.
 	wasVoter bool
 	// term is the member's term after the last event.
--- a/internal/host/logs/log_test.go
+++ b/internal/host/logs/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"os"
 	"testing"
 	"time"
 
@@ -135,6 +136,28 @@
 	assert.Assert(t, queue.Dropped() >= maxQueuedLines)
 }
 
+// failingWriter fails each write, and reports it to written.
+type failingWriter struct{ written chan struct{} }
+
+func (w failingWriter) Write([]byte) (int, error) {
+	w.written <- struct{}{}
+	return 0, os.ErrClosed
+}
+
+func TestLinesOfFailedWritesStayCounted(t *testing.T) {
+	w := failingWriter{written: make(chan struct{}, 3)}
+	q := NewQueue(w)
+	for range 3 {
+		_, err := q.Write([]byte("line\n"))
+		assert.NilError(t, err)
+	}
+	for range 3 {
+		<-w.written
+	}
+	q.Flush()
+	assert.Equal(t, q.Dropped(), int64(3))
+}
+
 func TestRoutedLogsMemberAndOutcome(t *testing.T) {
 	q, out, _ := newTestRequests(t, "")
 	m := figpier.NewMember(figpier.MemberConfig{Instance: "node-b"})
--- a/internal/host/logs/queue.go
+++ b/internal/host/logs/queue.go
@@ -73,12 +73,13 @@
 			continue
 		}
 		line := e.line
-		if n := q.dropped.Swap(0); n > 0 {
+		n := q.dropped.Swap(0)
+		if n > 0 {
 			line = append(fmt.Appendf(nil, "{\"level\":\"warning\",\"msg\":\"log lines were dropped: the output is too slow\",%q:%d}\n", FieldLeftOut, n), line...)
 		}
 		if _, err := q.output.Write(line); err != nil {
-			// The error has nowhere else to go, so the line only counts as dropped.
-			q.dropped.Add(1)
+			// The error has nowhere else to go, so the line only counts as dropped, with those whose count it carried.
+			q.dropped.Add(n + 1)
 		}
 	}
 }
--- a/internal/host/process/mesh.go
+++ b/internal/host/process/mesh.go
@@ -131,12 +131,15 @@
 	)
 }
 
-// seedAddresses returns the seeds of a mesh node or of a control instance.
+// seedAddresses returns the seeds of a mesh node or of a control instance, none for settings of another kind of process.
 func seedAddresses(s *settings.Settings) []string {
-	if s.Mesh() != nil {
+	switch {
+	case s.Mesh() != nil:
 		return s.Mesh().Seeds
+	case s.Control() != nil:
+		return s.Control().Seeds
 	}
-	return s.Control().Seeds
+	return nil
 }
 
 // newIncarnation returns an instance name that is unique to this start of the process, so that announcements of an earlier start
--- a/internal/host/seeds/seeds.go
+++ b/internal/host/seeds/seeds.go
@@ -100,6 +100,11 @@
 		log.WithError(err).Warn("cannot reload the settings: keeping the current seeds")
 		return
 	}
-	s.seeds = s.config.Read(loaded)
+	seeds := s.config.Read(loaded)
+	if len(seeds) == 0 {
+		log.Warn("the settings name no seeds: keeping the current ones")
+		return
+	}
+	s.seeds = seeds
 	log.WithField("seeds", s.seeds).Info("reloaded the seeds")
 }
--- a/internal/link/jsonrpc/messenger.go
+++ b/internal/link/jsonrpc/messenger.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -56,7 +57,7 @@
 
 	mu sync.Mutex
 	// outgoing holds the connections that this process opened, by address.
-	outgoing map[string]*jsonrpc2.Conn
+	outgoing map[string]*outgoingConn
 	// incoming holds the connections that other processes opened.
 	incoming map[*jsonrpc2.Conn]struct{}
 }
@@ -66,7 +67,7 @@
 	return &Messenger{
 		config:   c,
 		handlers: map[figpier.Method]figpier.MessageHandler{},
-		outgoing: map[string]*jsonrpc2.Conn{},
+		outgoing: map[string]*outgoingConn{},
 		incoming: map[*jsonrpc2.Conn]struct{}{},
 	}
 }
@@ -172,9 +173,9 @@
 	return answer, nil
 }
 
-// Request implements figpier.Messenger. After a timeout or a failure of the connection it closes the connection, so that the
-// next request opens a new one; it keeps it if the caller cancelled the request or the other process answered with an
-// error.
+// Request implements figpier.Messenger. After a failure of the connection, or a timeout in which nothing came over it, it closes
+// the connection, so that the next request opens a new one; it keeps it if the caller cancelled the request, if the other process
+// answered with an error, or if only this request had no answer, as others share the connection.
 func (m *Messenger) Request(ctx context.Context, address string, method figpier.Method, message, answer any) error {
 	if _, bounded := ctx.Deadline(); !bounded {
 		c, cancel := context.WithTimeout(ctx, m.config.AnswerTimeout)
@@ -190,6 +191,7 @@
 		return Error.Wrap(err)
 	}
 	var result json.RawMessage
+	began, receivedBefore := time.Now(), conn.received.Load()
 	err = conn.Call(ctx, string(method), json.RawMessage(question), &result)
 	m.bytes.add(method, address, len(question), len(result))
 	if err == nil && len(result) == 0 {
@@ -202,14 +204,43 @@
 	if errors.As(err, &remote) {
 		return &RemoteError{text: remote.Message}
 	}
-	if !errors.Is(err, context.Canceled) {
+	if !errors.Is(err, context.Canceled) && !(errors.Is(err, context.DeadlineExceeded) && conn.alive(began, receivedBefore)) {
 		m.closeOutgoing(address, conn)
 	}
 	return Error.New("%s to %s: %w", method, address, err)
 }
 
+// minSilence is how long nothing must come over a connection before a timeout counts as the connection's: several round trips
+// between regions.
+const minSilence = 300 * time.Millisecond
+
+// outgoingConn is a connection that this process opened.
+type outgoingConn struct {
+	*jsonrpc2.Conn
+	// received is the number of bytes that came over it.
+	received *atomic.Int64
+}
+
+// alive reports whether anything came over the connection since a request began, or the request was too short to tell.
+func (c *outgoingConn) alive(began time.Time, receivedBefore int64) bool {
+	return time.Since(began) < minSilence || c.received.Load() > receivedBefore
+}
+
+// receivingConn counts the bytes that it receives.
+type receivingConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c receivingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // connection returns the open connection to an address, or opens one.
-func (m *Messenger) connection(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (m *Messenger) connection(ctx context.Context, address string) (*outgoingConn, error) {
 	m.mu.Lock()
 	conn, ok := m.outgoing[address]
 	m.mu.Unlock()
@@ -241,16 +272,17 @@
 
 // addOutgoing starts using an opened connection for its address. If another goroutine was first to open one, it closes c
 // and returns that one.
-func (m *Messenger) addOutgoing(address string, c net.Conn) *jsonrpc2.Conn {
+func (m *Messenger) addOutgoing(address string, c net.Conn) *outgoingConn {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if other, ok := m.outgoing[address]; ok {
 		_ = c.Close()
 		return other
 	}
-	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+	received := &atomic.Int64{}
+	stream := jsonrpc2.NewBufferedStream(receivingConn{Conn: c, received: received}, jsonrpc2.VarintObjectCodec{})
 	h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(m.dispatch))
-	conn := jsonrpc2.NewConn(m.ctx, stream, h, jsonrpc2.SetLogger(log.Default()))
+	conn := &outgoingConn{Conn: jsonrpc2.NewConn(m.ctx, stream, h, jsonrpc2.SetLogger(log.Default())), received: received}
 	m.outgoing[address] = conn
 	go func() {
 		<-conn.DisconnectNotify()
@@ -260,7 +292,7 @@
 }
 
 // closeOutgoing closes a connection, and removes it unless a newer one to the address has taken its place.
-func (m *Messenger) closeOutgoing(address string, conn *jsonrpc2.Conn) {
+func (m *Messenger) closeOutgoing(address string, conn *outgoingConn) {
 	m.mu.Lock()
 	if m.outgoing[address] == conn {
 		delete(m.outgoing, address)
--- a/internal/link/jsonrpc/messenger_test.go
+++ b/internal/link/jsonrpc/messenger_test.go
@@ -29,6 +29,10 @@
 		err := decode(&received)
 		return received, err
 	})
+	m.Handle("stuck", func(ctx context.Context, _ figpier.Decode) (any, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
 	k := registry.New(registry.Config{Clock: system.Clock{}})
 	started := make(chan struct{})
 	assert.NilError(t, k.Register(m))
@@ -126,3 +130,32 @@
 	assert.Assert(t, err != nil)
 	echo(t, m, address, "after")
 }
+
+// TestTimeoutOfOneRequestKeepsTheConnectionOfOthers guards against a slow handler that ends the requests of others, such as held
+// polls, because they share its connection.
+func TestTimeoutOfOneRequestKeepsTheConnectionOfOthers(t *testing.T) {
+	address := freeAddress(t)
+	startMessenger(t, Config{Address: address, AnswerTimeout: 10 * time.Second})
+	m := startMessenger(t, Config{AnswerTimeout: 10 * time.Second})
+	echo(t, m, address, "open")
+	conn, err := m.connection(t.Context(), address)
+	assert.NilError(t, err)
+
+	request := func(d time.Duration) {
+		ctx, cancel := context.WithTimeout(t.Context(), d)
+		defer cancel()
+		assert.ErrorIs(t, m.Request(ctx, address, "stuck", text{}, &text{}), context.DeadlineExceeded)
+	}
+	request(minSilence / 4)
+	time.AfterFunc(minSilence/2, func() { echo(t, m, address, "between") })
+	request(2 * minSilence)
+	kept, err := m.connection(t.Context(), address)
+	assert.NilError(t, err)
+	assert.Assert(t, kept == conn)
+
+	// A connection over which nothing comes any more is replaced.
+	request(2 * minSilence)
+	replaced, err := m.connection(t.Context(), address)
+	assert.NilError(t, err)
+	assert.Assert(t, replaced != conn)
+}
--- a/internal/link/web/forward.go
+++ b/internal/link/web/forward.go
@@ -18,6 +18,9 @@
 // tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, whose value is in milliseconds; package syscall lacks it.
 const tcpUserTimeout = 18
 
+// maxAnswerHeadBytes bounds the head of an answer, with its informational ones, for servers that send a head without end.
+const maxAnswerHeadBytes = 256 << 10
+
 // keepAliveProbes is the number of unanswered keep-alive probes after which a connection is closed.
 const keepAliveProbes = 2
 
@@ -62,6 +65,8 @@
 		MaxIdleConnsPerHost: c.IdleConnections,
 		IdleConnTimeout:     c.IdleTimeout,
 		DisableCompression:  true,
+		// The default of 10 MB for each connection is more than the memory of a small instance allows.
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
 	}
 }
 
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -26,6 +26,10 @@
 	// request is below that one, and keptClasses is the number of classes that make a difference.
 	keptPerClass = 0.15
 	keptClasses  = 2
+	// maxWait bounds the times to come back, which would overflow for very low rates.
+	maxWait = time.Hour
+	// maxTransfer bounds the tokens of one transfer, which would overflow for very high limits.
+	maxTransfer = 1 << 20
 	// maxReservation is the time ahead for which tokens are reserved.
 	maxReservation = 250 * time.Millisecond
 	// sweepInterval is the time between removals of unused buckets, and the age at which they are removed.
@@ -120,7 +124,7 @@
 		return 0
 	}
 	b := t.refill(now, c, l, share)
-	tokens = max(0, int(b.tokens-t.keptTokens(l, share, p)))
+	tokens = int(min(max(0, b.tokens-t.keptTokens(l, share, p)), maxTransfer))
 	b.tokens -= float64(tokens)
 	return tokens
 }
@@ -144,12 +148,17 @@
 	b := t.refill(now, c, l, share)
 	needed := 1 + t.keptTokens(l, share, p)
 	if b.tokens < needed {
-		return time.Duration((needed - b.tokens) / (l.Rate() * share) * float64(time.Second)), false
+		return waitFor(needed-b.tokens, l.Rate()*share), false
 	}
 	b.tokens--
 	return 0, true
 }
 
+// waitFor returns the time in which a rate earns tokens, at most maxWait.
+func waitFor(tokens, rate float64) time.Duration {
+	return time.Duration(min(tokens/rate, maxWait.Seconds()) * float64(time.Second))
+}
+
 // Reserve spends a token like Take, or reserves one that will be earned within maxReservation. The request must then be held
 // for the returned time.
 func (t *Table) Reserve(now time.Time, c figpier.CustomerID, l figpier.Limit, share float64, p figpier.PriorityClass) (wait time.Duration, ok bool) {
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -156,3 +156,16 @@
 		assert.Assert(t, ok, "at %v", at)
 	}
 }
+
+func TestExtremeLimitsOverflowNothing(t *testing.T) {
+	low, high := limit(1e-300, 1e-300), limit(1e300, 1e300)
+	p := newTable()
+	for range 100 {
+		if wait, ok := p.Take(start.Add(time.Second), "low", low, 1e-3, figpier.HighestPriority); !ok {
+			assert.Equal(t, wait, maxWait)
+		}
+		_, ok := p.Take(start.Add(time.Second), "high", high, 0.5, figpier.HighestPriority)
+		assert.Assert(t, ok)
+	}
+	assert.Equal(t, p.TakeAll(start.Add(time.Second), "high", high, 0.5, figpier.LowestPriority), maxTransfer)
+}
