Keep tokens only for the important requests expected, and leave silent pools alone

Change: a connection is kept after a time-out only if something came over it meanwhile. Low classes leave as many tokens as requests of the highest class are expected within a second. A pool that has not answered for 300 ms is asked by one request in 300 ms, and a request that can wait no longer asks one pool.

--- a/internal/link/jsonrpc/messenger.go
+++ b/internal/link/jsonrpc/messenger.go
@@ -191,7 +191,7 @@
 		return Error.Wrap(err)
 	}
 	var result json.RawMessage
-	began, receivedBefore := time.Now(), conn.received.Load()
+	receivedBefore := conn.received.Load()
 	err = conn.Call(ctx, string(method), json.RawMessage(question), &result)
 	m.bytes.add(method, address, len(question), len(result))
 	if err == nil && len(result) == 0 {
@@ -204,16 +204,12 @@
 	if errors.As(err, &remote) {
 		return &RemoteError{text: remote.Message}
 	}
-	if !errors.Is(err, context.Canceled) && !(errors.Is(err, context.DeadlineExceeded) && conn.alive(began, receivedBefore)) {
+	if !errors.Is(err, context.Canceled) && !(errors.Is(err, context.DeadlineExceeded) && conn.received.Load() > receivedBefore) {
 		m.closeOutgoing(address, conn)
 	}
 	return Error.New("%s to %s: %w", method, address, err)
 }
 
-// minSilence is how long nothing must come over a connection before a timeout counts as the connection's: several round trips
-// between regions.
-const minSilence = 300 * time.Millisecond
-
 // outgoingConn is a connection that this process opened.
 type outgoingConn struct {
 	*jsonrpc2.Conn
@@ -221,11 +217,6 @@
 	received *atomic.Int64
 }
 
-// alive reports whether anything came over the connection since a request began, or the request was too short to tell.
-func (c *outgoingConn) alive(began time.Time, receivedBefore int64) bool {
-	return time.Since(began) < minSilence || c.received.Load() > receivedBefore
-}
-
 // receivingConn counts the bytes that it receives.
 type receivingConn struct {
 	net.Conn
--- a/internal/link/jsonrpc/messenger_test.go
+++ b/internal/link/jsonrpc/messenger_test.go
@@ -146,15 +146,15 @@
 		defer cancel()
 		assert.ErrorIs(t, m.Request(ctx, address, "stuck", text{}, &text{}), context.DeadlineExceeded)
 	}
-	request(minSilence / 4)
-	time.AfterFunc(minSilence/2, func() { echo(t, m, address, "between") })
-	request(2 * minSilence)
+	const timeout = 200 * time.Millisecond
+	time.AfterFunc(timeout/2, func() { echo(t, m, address, "between") })
+	request(timeout)
 	kept, err := m.connection(t.Context(), address)
 	assert.NilError(t, err)
 	assert.Assert(t, kept == conn)
 
 	// A connection over which nothing comes any more is replaced.
-	request(2 * minSilence)
+	request(timeout)
 	replaced, err := m.connection(t.Context(), address)
 	assert.NilError(t, err)
 	assert.Assert(t, replaced != conn)
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -22,10 +22,13 @@
 	// startExcessFraction is the fraction of the allowed excess with which the buckets of a new table begin, if Config.Credit says
 	// so. It serves the first seconds after a restart; what is left of the excess covers a second restart within the window.
 	startExcessFraction = 0.25
-	// keptPerClass is the fraction of a bucket that requests of the highest priority class alone may spend, for each class that a
-	// request is below that one, and keptClasses is the number of classes that make a difference.
-	keptPerClass = 0.15
+	// keptTime is the time for whose requests of the highest priority class those of lower ones leave tokens, and keptFraction
+	// bounds these tokens as a fraction of the bucket. A request one class below the highest leaves half as many.
+	keptTime     = time.Second
+	keptFraction = 0.3
 	keptClasses  = 2
+	// demandTime is the time constant of the average of the requests of the highest class.
+	demandTime = 2 * time.Second
 	// maxWait bounds the times to come back, which would overflow for very low rates.
 	maxWait = time.Hour
 	// maxTransfer bounds the tokens of one transfer, which would overflow for very high limits.
@@ -64,6 +67,8 @@
 type bucket struct {
 	tokens  float64
 	updated time.Time
+	// demand is the exponentially decayed number of requests of the highest priority class, as of updated.
+	demand float64
 }
 
 // New returns a table whose buckets are empty at Config.Start.
@@ -124,7 +129,7 @@
 		return 0
 	}
 	b := t.refill(now, c, l, share)
-	tokens = int(min(max(0, b.tokens-t.keptTokens(l, share, p)), maxTransfer))
+	tokens = int(min(max(0, b.tokens-t.keptTokens(b, l, share, p)), maxTransfer))
 	b.tokens -= float64(tokens)
 	return tokens
 }
@@ -146,7 +151,10 @@
 	}
 	t.sweep(now)
 	b := t.refill(now, c, l, share)
-	needed := 1 + t.keptTokens(l, share, p)
+	if p == figpier.HighestPriority {
+		b.demand++
+	}
+	needed := 1 + t.keptTokens(b, l, share, p)
 	if b.tokens < needed {
 		return waitFor(needed-b.tokens, l.Rate()*share), false
 	}
@@ -179,7 +187,9 @@
 			b.tokens = startExcessFraction * t.allowedExcess(l) * share
 		}
 	}
-	earned := l.Rate() * share * max(0, now.Sub(b.updated).Seconds())
+	elapsed := max(0, now.Sub(b.updated).Seconds())
+	earned := l.Rate() * share * elapsed
+	b.demand *= math.Exp(-elapsed / demandTime.Seconds())
 	b.tokens = math.Min(t.maxTokens(l, share), b.tokens+earned)
 	b.updated = now
 	return b
@@ -190,10 +200,12 @@
 	return max(1, t.bucketDepth(l)*share)
 }
 
-// keptTokens returns the number of tokens that a request of a class leaves in the bucket of a share. A full bucket always has
-// a token above them.
-func (t *Table) keptTokens(l figpier.Limit, share float64, p figpier.PriorityClass) float64 {
-	return keptPerClass * float64(min(p, keptClasses)) * (t.maxTokens(l, share) - 1)
+// keptTokens returns the number of tokens that a request of a class leaves in a bucket for the requests of the highest class that
+// are expected within keptTime. A full bucket always has a token above them.
+func (t *Table) keptTokens(b *bucket, l figpier.Limit, share float64, p figpier.PriorityClass) float64 {
+	expected := b.demand / demandTime.Seconds() * keptTime.Seconds()
+	most := keptFraction * (t.maxTokens(l, share) - 1)
+	return float64(min(p, keptClasses)) / keptClasses * min(expected, most)
 }
 
 // bucketDepth returns the depth of the whole limit: its burst and a fraction of the allowed excess.
--- a/internal/traffic/quota/limiter.go
+++ b/internal/traffic/quota/limiter.go
@@ -67,7 +67,7 @@
 	aloneTable *policy.Table
 	// debt counts the requests admitted on credit while the pool did not answer but may still have counted this node.
 	debt *policy.Debt
-	// avoided holds the pools that granted nothing lately, by the address of their control instance.
+	// avoided holds the pools that granted nothing when they were last asked, by the address of their control instance.
 	avoided map[string]avoidance
 	// idleControl is the control instance whose pool does not grant tokens yet, and idleSince is when that was first seen.
 	idleControl string
@@ -122,7 +122,7 @@
 		if l.takeOwn(r, limit) {
 			return nil
 		}
-		t := l.takeFromPool(ctx, r, limit)
+		t := l.takeFromPool(ctx, r, limit, giveUp)
 		switch {
 		case t.granted:
 			return l.wait(ctx, t.wait)
@@ -160,14 +160,18 @@
 	wait time.Duration
 }
 
-// takeFromPool asks the near pools for a token, and falls back to credit or the node's part of the pool.
-func (l *Limiter) takeFromPool(ctx context.Context, r figpier.TokenRequest, limit figpier.Limit) taking {
+// takeFromPool asks the near pools for a token, one of them if the request can wait no longer, and falls back to credit or the
+// node's part of the pool.
+func (l *Limiter) takeFromPool(ctx context.Context, r figpier.TokenRequest, limit figpier.Limit, giveUp time.Time) taking {
 	var err error
 	idle := false
-	for _, address := range l.poolsToAsk() {
+	for i, address := range l.poolsToAsk() {
+		if i > 0 && l.clock.Now().After(giveUp) {
+			break
+		}
 		var a message.PoolAnswer
 		if a, err = l.askPool(ctx, address, r); err == nil && !a.Idle {
-			l.poolAnswered()
+			l.poolAnswered(address)
 			return taking{granted: a.Granted, answered: true, wait: time.Duration(a.WaitMillis) * time.Millisecond}
 		}
 		idle = idle || err == nil
@@ -187,13 +191,15 @@
 
 // avoidance is why and until when a pool is not asked.
 type avoidance struct {
+	// since is when the pool first granted nothing.
+	since time.Time
 	until time.Time
-	// unreached means that its control instance could not be connected to.
-	unreached bool
+	// lost means that its control instance could not be connected to, or has not answered for silentPoolInterval.
+	lost bool
 }
 
 // poolsToAsk returns the addresses of the pools to ask: that of the control instance that the node polls, and then near ones.
-// Those that granted nothing lately are left out. If they all did, the first is asked unless it could not be connected to.
+// Those that granted nothing lately are left out. If they all did, the first is asked unless it is lost.
 func (l *Limiter) poolsToAsk() []string {
 	now := l.clock.Now()
 	all := l.view.ControlAddresses()
@@ -205,7 +211,7 @@
 			addresses = append(addresses, a)
 		}
 	}
-	if len(addresses) == 0 && !l.avoided[all[0]].unreached {
+	if len(addresses) == 0 && !l.avoided[all[0]].lost {
 		return all[:1]
 	}
 	return addresses
@@ -218,12 +224,13 @@
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for a, v := range l.avoided {
-		if now.After(v.until) {
-			delete(l.avoided, a)
-		}
+	v, known := l.avoided[address]
+	if !known {
+		v.since = now
 	}
-	l.avoided[address] = avoidance{until: now.Add(silentPoolInterval), unreached: errors.As(err, &unreached)}
+	v.until = now.Add(silentPoolInterval)
+	v.lost = errors.As(err, &unreached) || err != nil && now.Sub(v.since) >= silentPoolInterval
+	l.avoided[address] = v
 }
 
 // takeOwn spends a token of the node's own share.
@@ -311,10 +318,11 @@
 	return l.aloneTable.Take(now, r.Customer(), limit, l.aloneTable.IsolatedShare(limit, l.countNodes(now)), r.Priority())
 }
 
-// poolAnswered goes back to the pool after it has answered.
-func (l *Limiter) poolAnswered() {
+// poolAnswered goes back to a pool after it has answered.
+func (l *Limiter) poolAnswered(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.avoided, address)
 	l.idleControl = ""
 	if l.aloneTable == nil {
 		return
--- a/internal/traffic/quota/limiter_test.go
+++ b/internal/traffic/quota/limiter_test.go
@@ -327,3 +327,20 @@
 	assert.Assert(t, errors.As(err, &refusal))
 	assert.Equal(t, refusal.Reason(), figpier.RefusalGivenUp)
 }
+
+// TestSilentPoolIsLeftAlone guards against requests that each wait for a control instance without power, whose connection does
+// not fail by itself.
+func TestSilentPoolIsLeftAlone(t *testing.T) {
+	f := newFleet(4)
+	n := f.nodes[0]
+	n.nodeTable = n.newTable(f.now.Add(time.Hour)) // without tokens of its own
+	p := &pools{}
+	n.messenger = p
+	for at := time.Duration(0); at < 10*time.Second; at += 50 * time.Millisecond {
+		f.now = f.now.Add(50 * time.Millisecond)
+		_ = n.Take(t.Context(), tokenRequest(0))
+	}
+	// Until the pool counts as lost each request asks it, and then one in each interval does.
+	most := int(10*time.Second/silentPoolInterval) + int(silentPoolInterval/(50*time.Millisecond)) + 1
+	assert.Assert(t, len(p.asked) <= most, "%d requests of at most %d", len(p.asked), most)
+}
