Give refused callers turns of their own to come back

Cause: a refusal for overload, without a member, without a table or without a pool named the same time to everybody, so that the refused came back together and were refused again. Change: policy/comeback spaces the turns by the rate at which room comes free, the important ones first, up to a second.

--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/figpier/figpier"
+	"github.com/figpier/figpier/internal/policy/comeback"
 )
 
 const (
@@ -64,6 +65,7 @@
 	running       int
 	lastRelease   time.Time
 	sheddingSince time.Time
+	turns         comeback.Queue
 }
 
 // New returns a controller for a backend server that has not announced its slots.
@@ -162,6 +164,16 @@
 	return max(c.queueTime, min(queuedServiceTimes*c.limit.baseline, maxQueueTime))
 }
 
+// Turn returns how long the caller of a shed call of a class shall stay away. Slots come free at the limit over the usual service
+// time.
+func (c *Controller) Turn(now time.Time, class figpier.PriorityClass) time.Duration {
+	rate := 0.0
+	if c.limit.baseline > 0 {
+		rate = float64(c.limit.calls()) / c.limit.baseline.Seconds()
+	}
+	return c.turns.Turn(now, class, rate, 0)
+}
+
 // Limit returns the number of calls that may run at once.
 func (c *Controller) Limit() int { return c.limit.calls() }
 
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -16,9 +16,6 @@
 	maxBindings = 1000            // pairs of a customer and a limit that are kept
 )
 
-// retryAfterOverload is the Retry-After of a refusal for overload.
-const retryAfterOverload = time.Second
-
 // Config configures an Admission.
 type Config struct {
 	// Service is the service of the backend server beside the node.
@@ -112,7 +109,7 @@
 func (a *Admission) Admit(ctx context.Context, c *figpier.Call) (figpier.Ticket, error) {
 	if c.Rank().Refused(a.cutOffs.CutOff(c)) {
 		a.recordRefusal(c, figpier.LimitCutOff)
-		return nil, retryableRefusal(figpier.RefusalCutOff)
+		return nil, a.retryableRefusal(c, figpier.RefusalCutOff)
 	}
 	verdict, w := a.submit(c)
 	if verdict == policy.Wait {
@@ -190,12 +187,16 @@
 		return figpier.Refuse(figpier.RefusalNoBackend)
 	default:
 		a.recordRefusal(c, figpier.LimitConcurrency)
-		return retryableRefusal(figpier.RefusalOverload)
+		return a.retryableRefusal(c, figpier.RefusalOverload)
 	}
 }
 
-func retryableRefusal(r figpier.RefusalReason) *figpier.Refusal {
-	return figpier.NewRefusal(figpier.RefusalConfig{Reason: r, RetryAfter: retryAfterOverload})
+// retryableRefusal returns a refusal that tells the caller when to come back.
+func (a *Admission) retryableRefusal(c *figpier.Call, r figpier.RefusalReason) *figpier.Refusal {
+	now := a.clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return figpier.NewRefusal(figpier.RefusalConfig{Reason: r, RetryAfter: a.controller.Turn(now, c.Priority())})
 }
 
 func (a *Admission) recordRefusal(c *figpier.Call, k figpier.LimitKind) {
--- a/internal/traffic/forward/attempts.go
+++ b/internal/traffic/forward/attempts.go
@@ -16,9 +16,9 @@
 // the request. Each attempt may cost a round trip between regions.
 const maxUndelivered = 3
 
-// notRunRetryAfter is the Retry-After for a request that has not run: by then a reported cut-off is probed again, and a
-// member that is gone has been removed from the lists.
-const notRunRetryAfter = 500 * time.Millisecond
+// notRunWait is the least Retry-After for a request that has not run: by then a reported cut-off is probed again, and a member that
+// is gone has been removed from the lists.
+const notRunWait = 300 * time.Millisecond
 
 // minRetryTime is the least remaining time in which another attempt can still end: a round trip between regions and a
 // short run.
@@ -55,7 +55,7 @@
 	for {
 		m, err := f.router.Pick(c, p.tried)
 		if err != nil {
-			return nil, finalRefusal(last, web.AsRefusal(err), p)
+			return nil, f.finalRefusal(c, last, web.AsRefusal(err), p)
 		}
 		a := f.startAttempt(ctx, i, c, m, body)
 		p.add(m, a)
@@ -64,7 +64,7 @@
 		}
 		last = a.refusal
 		if !f.mayRetry(ctx, c, a, p, body) {
-			return nil, finalRefusal(last, last, p)
+			return nil, f.finalRefusal(c, last, last, p)
 		}
 	}
 }
@@ -127,19 +127,23 @@
 
 // finalRefusal returns the refusal that ends a request: that of the last attempt, without the "not run" mark, if an attempt
 // may have run, and else the newest refusal, with a Retry-After.
-func finalRefusal(last, newest *figpier.Refusal, p *progress) *figpier.Refusal {
+func (f *Forwarder) finalRefusal(c *figpier.Call, last, newest *figpier.Refusal, p *progress) *figpier.Refusal {
 	if !p.ran {
-		return withRetryAfter(newest)
+		return f.withRetryAfter(c, newest)
 	}
 	return figpier.NewRefusal(figpier.RefusalConfig{Reason: last.Reason(), MayHaveRun: true, RetryAfter: last.RetryAfter()})
 }
 
 // withRetryAfter sets a Retry-After on a "not run" refusal that has none.
-func withRetryAfter(r *figpier.Refusal) *figpier.Refusal {
+func (f *Forwarder) withRetryAfter(c *figpier.Call, r *figpier.Refusal) *figpier.Refusal {
 	if !r.NotRun() || r.RetryAfter() > 0 {
 		return r
 	}
-	return figpier.NewRefusal(figpier.RefusalConfig{Reason: r.Reason(), ProvenNotRun: true, RetryAfter: notRunRetryAfter})
+	now := f.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	turn := f.turns.Turn(now, c.Priority(), 0, notRunWait)
+	return figpier.NewRefusal(figpier.RefusalConfig{Reason: r.Reason(), ProvenNotRun: true, RetryAfter: turn})
 }
 
 // startAttempt sends the call to one member. The router counts the attempt as open until the answer's body has been read.
--- a/internal/traffic/forward/forwarder.go
+++ b/internal/traffic/forward/forwarder.go
@@ -9,6 +9,7 @@
 	"github.com/figpier/figpier"
 	"github.com/figpier/figpier/internal/link/bytecount"
 	"github.com/figpier/figpier/internal/link/web"
+	"github.com/figpier/figpier/internal/policy/comeback"
 	"github.com/figpier/figpier/internal/policy/retrybudget"
 )
 
@@ -50,8 +51,10 @@
 	// bytes counts the bytes of the connections to other nodes.
 	bytes bytecount.Counts
 
-	mu          sync.Mutex // guards retries
+	mu          sync.Mutex // guards the fields below
 	retryBudget *retrybudget.Table
+	// turns are those of the requests that found no member.
+	turns comeback.Queue
 }
 
 // New returns a forwarder, to be started by the kernel.
--- a/internal/traffic/quota/limiter.go
+++ b/internal/traffic/quota/limiter.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/figpier/figpier"
+	"github.com/figpier/figpier/internal/policy/comeback"
 	policy "github.com/figpier/figpier/internal/policy/quota"
 	"github.com/figpier/figpier/internal/wire/message"
 )
@@ -25,9 +26,9 @@
 	// instance spends that part for 1.5 s after a poll, and the last poll that reached it may have been sent up to 1 s
 	// after the last one that was answered.
 	poolLossTime = 2500 * time.Millisecond
-	// unansweredRetryAfter is the Retry-After of a refusal because the pool did not answer. By then the node polls another
+	// unansweredWait is the least Retry-After of a refusal because the pool did not answer. By then the node polls another
 	// control instance or spends its part itself.
-	unansweredRetryAfter = 500 * time.Millisecond
+	unansweredWait = 300 * time.Millisecond
 	// silentPoolInterval is how long a pool that did not answer, or that grants no tokens yet, is only asked if all others did so too.
 	silentPoolInterval = 300 * time.Millisecond
 	// retryInterval is the time between two tries of a request that waits while no pool grants tokens.
@@ -73,6 +74,8 @@
 	idleControl string
 	idleSince   time.Time
 	lastLogged  time.Time
+	// turns are those of the requests that no pool answered.
+	turns       comeback.Queue
 	nodeCount   int       // as used for shares; follows a lower reported number after nodeCountHold
 	nodeCountAt time.Time // when at least nodeCount nodes were reported last
 }
@@ -126,8 +129,10 @@
 		switch {
 		case t.granted:
 			return l.wait(ctx, t.wait)
-		case t.answered || l.clock.Now().Add(retryInterval).After(giveUp):
+		case t.answered:
 			return figpier.NewRefusal(figpier.RefusalConfig{Reason: figpier.RefusalOverRate, RetryAfter: t.wait})
+		case l.clock.Now().Add(retryInterval).After(giveUp):
+			return l.refuseUnanswered(r, t.wait)
 		}
 		if err := l.wait(ctx, retryInterval); err != nil {
 			return err
@@ -135,6 +140,15 @@
 	}
 }
 
+// refuseUnanswered returns the refusal of a request that no pool answered, with a turn of its own to come back after wait.
+func (l *Limiter) refuseUnanswered(r figpier.TokenRequest, wait time.Duration) *figpier.Refusal {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	turn := l.turns.Turn(now, r.Priority(), 0, wait)
+	return figpier.NewRefusal(figpier.RefusalConfig{Reason: figpier.RefusalOverRate, RetryAfter: turn})
+}
+
 // wait returns after a time, or with a refusal once the caller has given up.
 func (l *Limiter) wait(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
@@ -280,7 +294,7 @@
 		}).Warn("the pool of customers' limits does not answer")
 	}
 	if sincePoll <= poolLossTime {
-		return unansweredRetryAfter, l.borrow(now, r.Customer(), limit)
+		return unansweredWait, l.borrow(now, r.Customer(), limit)
 	}
 	return l.takeAlone(now, r, limit)
 }
@@ -295,7 +309,7 @@
 		l.idleControl, l.idleSince = control, now
 	}
 	if now.Sub(l.idleSince) <= poolLossTime {
-		return unansweredRetryAfter, l.borrow(now, r.Customer(), limit)
+		return unansweredWait, l.borrow(now, r.Customer(), limit)
 	}
 	return l.takeAlone(now, r, limit)
 }
--- a/internal/traffic/tablegate/gate.go
+++ b/internal/traffic/tablegate/gate.go
@@ -7,12 +7,17 @@
 	"time"
 
 	"github.com/figpier/figpier"
+	"github.com/figpier/figpier/internal/policy/comeback"
 	"github.com/figpier/figpier/internal/policy/roundrobin"
 )
 
-// notReadyRetryAfter is the Retry-After of a node that has just started or whose view is stale; a node gets the table with
-// its first poll.
-const notReadyRetryAfter = time.Second
+// Waits of a node that has just started or whose view is stale; a node gets the table with its first poll.
+const (
+	// maxTableWait bounds how long a request waits for the table.
+	maxTableWait = time.Second
+	// notReadyWait is the least Retry-After of a request that waited in vain.
+	notReadyWait = 500 * time.Millisecond
+)
 
 // Parts of a request's time that it may wait before it is sent on; the rest is left to its run.
 const (
@@ -36,8 +41,10 @@
 	limiter figpier.Limiter
 	ranker  figpier.Ranker
 
-	mu         sync.Mutex // guards roundRobin
+	mu         sync.Mutex // guards the fields below
 	roundRobin *roundrobin.Table
+	// turns are those of the requests that came while the node was not ready.
+	turns comeback.Queue
 }
 
 // New returns a gate, to be started by the kernel.
@@ -115,17 +122,25 @@
 
 // awaitTable returns the routing table, which a node that has just started may get while the request waits.
 func (g *Gate) awaitTable(ctx context.Context, a *figpier.Arrival) (*figpier.Table, error) {
-	patience := notReadyRetryAfter
+	patience := maxTableWait
 	if a.Remaining() > 0 {
 		patience = min(patience, a.Remaining()/tableWaitDivisor)
 	}
 	known := func() bool { return g.view.Configuration().Table() != nil }
 	if !g.await(ctx, a.Received().Add(patience), known) {
-		return nil, figpier.NewRefusal(figpier.RefusalConfig{Reason: figpier.RefusalNotReady, RetryAfter: notReadyRetryAfter})
+		return nil, g.refuseNotReady(figpier.RefusalNotReady, figpier.HighestPriority)
 	}
 	return g.view.Configuration().Table(), nil
 }
 
+// refuseNotReady returns a refusal that gives the caller a turn of its own to come back.
+func (g *Gate) refuseNotReady(reason figpier.RefusalReason, c figpier.PriorityClass) *figpier.Refusal {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return figpier.NewRefusal(figpier.RefusalConfig{Reason: reason, RetryAfter: g.turns.Turn(now, c, 0, notReadyWait)})
+}
+
 // await waits until a condition on the view is met, and reports whether it was before giveUp and the end of the context.
 func (g *Gate) await(ctx context.Context, giveUp time.Time, met func() bool) bool {
 	changed := g.view.Changed()
@@ -205,7 +220,7 @@
 	}
 	fresh := func() bool { return g.view.Fresh(g.clock.Now()) }
 	if !g.await(ctx, a.Received().Add(patience), fresh) {
-		return nil, none, figpier.NewRefusal(figpier.RefusalConfig{Reason: figpier.RefusalStaleView, RetryAfter: notReadyRetryAfter})
+		return nil, none, g.refuseNotReady(figpier.RefusalStaleView, r.Priority())
 	}
 	if newer := g.view.Configuration().Table(); newer != nil {
 		// The key may have been withdrawn while the request waited.
