--- a/internal/link/jsonrpc/messenger.go
+++ b/internal/link/jsonrpc/messenger.go
@@ -204,7 +204,10 @@
 	if errors.As(err, &remote) {
 		return &RemoteError{text: remote.Message}
 	}
-	if !errors.Is(err, context.Canceled) && !(errors.Is(err, context.DeadlineExceeded) && conn.received.Load() > receivedBefore) {
+	switch {
+	case errors.Is(err, context.Canceled):
+	case errors.Is(err, context.DeadlineExceeded) && conn.received.Load() > receivedBefore:
+	default:
 		m.closeOutgoing(address, conn)
 	}
 	return Error.New("%s to %s: %w", method, address, err)
--- /dev/null
+++ b/internal/traffic/configview/poll.go
@@ -0,0 +1,271 @@
+package configview
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/xxh3"
+
+	"github.com/figpier/figpier"
+	"github.com/figpier/figpier/internal/wire/codec"
+	"github.com/figpier/figpier/internal/wire/message"
+)
+
+// Times after which a control instance that was left is tried again, when a more distant one is polled.
+const (
+	// silentRetryInterval is for one that did not answer; each try costs a poll timeout.
+	silentRetryInterval = 5 * time.Second
+	// behindRetryInterval is for one that answered at once that it is behind, or refused the connection, as it does while it
+	// restarts.
+	behindRetryInterval = time.Second
+)
+
+// noOtherPollAge is reported when no other control instance was polled. It is far above the time for which a control
+// instance counts a node that has stopped polling it.
+const noOtherPollAge = time.Hour
+
+// pollLoop polls control instances in the order of preference, each until it fails or a nearer one is known.
+func (v *View) pollLoop(ctx context.Context) {
+	if len(v.config.Controls) == 0 {
+		v.discover(ctx)
+	}
+	for ctx.Err() == nil {
+		if !v.pollAny(ctx) {
+			v.waitRetryPause(ctx)
+		}
+	}
+}
+
+// pollAny polls the control instances one after the other, and returns true once one was left for a nearer one.
+func (v *View) pollAny(ctx context.Context) (nearer bool) {
+	for _, address := range v.pollOrder() {
+		if v.pollInstance(ctx, address) {
+			return true
+		}
+	}
+	return false
+}
+
+// discover asks the seeds for the places of the control instances, so that the node fetches the configuration and the members
+// from a near one. It returns once one of them has answered, or all have failed.
+func (v *View) discover(ctx context.Context) {
+	for _, address := range v.pollOrder() {
+		bounded, cancel := context.WithTimeout(ctx, v.config.AnswerTimeout)
+		var a message.ControlsAnswer
+		err := v.messenger.Request(bounded, address, figpier.MethodControls, message.ControlsAsk{}, &a)
+		cancel()
+		if err != nil {
+			v.config.Log.WithError(err).WithField("control", address).Info("a seed does not tell the control instances")
+			continue
+		}
+		e := &controlsLearned{controls: controlPlaces(a.Controls), applied: make(chan struct{})}
+		if v.control.Post(e) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-e.applied:
+		}
+		return
+	}
+}
+
+// pollInstance polls a control instance until it fails, or until a nearer one is known, which it reports.
+func (v *View) pollInstance(ctx context.Context, address string) (nearer bool) {
+	// The first poll asks for an immediate answer, so that an unreachable instance is detected early.
+	wait := time.Duration(0)
+	for {
+		retryInterval, ok := v.poll(ctx, address, wait)
+		if !ok {
+			v.retryAt[address] = v.clock.Now().Add(retryInterval)
+			return false
+		}
+		if v.knowsNearer(address) {
+			return true
+		}
+		wait = v.config.PollWait
+	}
+}
+
+// knowsNearer reports whether there is a control instance to poll that is nearer than the one at an address. The distance of a
+// seed that no control instance has listed is not known, so that any other is preferred to it.
+func (v *View) knowsNearer(address string) bool {
+	if len(v.config.Controls) > 0 {
+		return false
+	}
+	now := v.clock.Now()
+	controls := v.published.Load().controls
+	at := slices.IndexFunc(controls, func(p figpier.ControlPlace) bool { return p.Address() == address })
+	return slices.ContainsFunc(controls, func(p figpier.ControlPlace) bool {
+		return (at < 0 || v.distance(p) < v.distance(controls[at])) && !now.Before(v.retryAt[p.Address()])
+	})
+}
+
+// pollOrder returns the message addresses of the control instances in the order in which to poll them: by preference, and
+// those of the same preference in an order of this node's own, so that nodes spread over them.
+func (v *View) pollOrder() []string {
+	if len(v.config.Controls) > 0 {
+		return v.config.Controls
+	}
+	instances := slices.Clone(v.published.Load().controls)
+	now := v.clock.Now()
+	slices.SortFunc(instances, func(a, b figpier.ControlPlace) int {
+		return cmp.Or(
+			cmp.Compare(v.preference(now, a), v.preference(now, b)),
+			cmp.Compare(v.spreadOrder(a.Address()), v.spreadOrder(b.Address())),
+		)
+	})
+	var addresses []string
+	for _, p := range instances {
+		addresses = append(addresses, p.Address())
+	}
+	seeds := slices.Clone(v.seeds.Seeds())
+	slices.SortFunc(seeds, func(a, b string) int { return cmp.Compare(v.spreadOrder(a), v.spreadOrder(b)) })
+	for _, a := range seeds {
+		if !slices.Contains(addresses, a) {
+			addresses = append(addresses, a)
+		}
+	}
+	return addresses
+}
+
+// spreadOrder returns a number for an address that differs from node to node.
+func (v *View) spreadOrder(address string) uint64 {
+	return xxh3.HashStringSeed(address, v.config.Seed)
+}
+
+// preference orders control instances by distance; those that failed and are not due to be tried again come last.
+func (v *View) preference(now time.Time, p figpier.ControlPlace) int {
+	if now.Before(v.retryAt[p.Address()]) {
+		return len(figpier.Distances) + int(v.distance(p))
+	}
+	return int(v.distance(p))
+}
+
+// distance returns the distance of a control instance.
+func (v *View) distance(p figpier.ControlPlace) figpier.Distance {
+	return figpier.DistanceBetween(v.config.DataCentre, v.config.Region, p.DataCentre(), p.Region())
+}
+
+func (v *View) waitRetryPause(ctx context.Context) {
+	elapsed := make(chan struct{})
+	cancel := v.clock.AfterFunc(v.config.RetryPause, func() { close(elapsed) })
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-elapsed:
+	}
+}
+
+// poll sends one poll and waits until its answer is applied. It returns false, and how long to leave the control instance, if
+// that one did not answer, sent a configuration that can't be applied, or has not known for MaxQuorumAge that it is current. A poll
+// that repoll ended counts as answered.
+func (v *View) poll(ctx context.Context, address string, wait time.Duration) (retryInterval time.Duration, ok bool) {
+	pollCtx, cancel := context.WithTimeout(ctx, wait+v.config.AnswerTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	defer close(done)
+	var repolled atomic.Bool
+	go func() {
+		select {
+		case <-v.repollRequested:
+			repolled.Store(true)
+			cancel()
+		case <-done:
+		}
+	}()
+
+	sent := v.clock.Now()
+	known := v.published.Load()
+	p := v.newPoll(known, wait)
+	p.ElsewhereMillis = int(v.sinceOtherPoll(sent, address).Milliseconds())
+	var a message.PollAnswer
+	err := v.messenger.Request(pollCtx, address, figpier.MethodPoll, p, &a)
+	unreached := (*figpier.UnreachedError)(nil)
+	uncounted := err == nil && a.Uncounted != nil && *a.Uncounted
+	if !errors.As(err, &unreached) && !uncounted {
+		v.lastPoll[address] = sent
+	}
+	if err != nil {
+		if repolled.Load() && ctx.Err() == nil {
+			return 0, true
+		}
+		v.config.Log.WithError(err).WithField("control", address).Warn("a control instance does not answer")
+		return retryIntervalFor(err), false
+	}
+	line := v.config.Log.WithFields(logrus.Fields{"control": address, "quorumAgeMillis": a.QuorumAgeMillis, "revision": a.Revision})
+	if uncounted {
+		line.Warn("a control instance is behind")
+		v.waitRetryPause(ctx)
+		return behindRetryInterval, false
+	}
+	e := &pollAnswered{sent: sent, control: address, followed: known.followed, answer: a, applied: make(chan struct{})}
+	if err := v.control.Post(e); err != nil {
+		return 0, false
+	}
+	select {
+	case <-ctx.Done():
+		return 0, false
+	case <-e.applied:
+	}
+	if e.err != nil {
+		line.WithError(e.err).Warn("a configuration can't be applied: the whole one is requested")
+		return behindRetryInterval, false
+	}
+	if a.QuorumAgeMillis >= int(v.config.MaxQuorumAge.Milliseconds()) {
+		line.Warn("a control instance is behind")
+		return behindRetryInterval, false
+	}
+	return 0, true
+}
+
+// retryIntervalFor returns how long to leave a control instance after a failed poll.
+func retryIntervalFor(err error) time.Duration {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return behindRetryInterval
+	}
+	return silentRetryInterval
+}
+
+// sinceOtherPoll returns how long ago a control instance at any other address may have received a poll that it counts.
+func (v *View) sinceOtherPoll(now time.Time, address string) time.Duration {
+	age := noOtherPollAge
+	for a, at := range v.lastPoll {
+		if a != address {
+			age = min(age, now.Sub(at))
+		}
+	}
+	return age
+}
+
+func (v *View) newPoll(s *snapshot, wait time.Duration) message.Poll {
+	p := message.Poll{
+		Revision:      int(s.configuration.Revision()),
+		Registry:      s.registry,
+		MemberVersion: s.memberVersion,
+		Services:      []string{},
+		WaitMillis:    int(wait.Milliseconds()),
+		Member:        codec.FromMember(v.ownMember.Load()),
+		MembersDigest: &s.membersDigest,
+	}
+	if t := s.configuration.Table(); t != nil {
+		number := int(t.Number())
+		p.Table = &number
+	}
+	if s.partial {
+		p.Partial = &s.partial
+	}
+	if s.resync {
+		p.Revision, p.Table = 0, nil
+	}
+	for _, service := range s.followed.Values() {
+		p.Services = append(p.Services, string(service))
+	}
+	return p
+}
