--- a/internal/baseline/fixed/limits.go
+++ b/internal/baseline/fixed/limits.go
@@ -44,7 +44,8 @@
 func (l *Limiter) Stop(context.Context) error { return nil }
 
 // Take implements figpier.Limiter.
-func (l *Limiter) Take(_ context.Context, c figpier.CustomerID, s figpier.UpstreamService) error {
+func (l *Limiter) Take(_ context.Context, r figpier.TokenRequest) error {
+	c, s := r.Customer(), r.Service()
 	profile, ok := l.view.Configuration().ProfileOf(s)
 	if !ok {
 		return figpier.Refuse(figpier.RefusalNoProfile)
