--- a/internal/baseline/fixed/limits.go
+++ b/internal/baseline/fixed/limits.go
@@ -8,6 +8,9 @@
 	"github.com/figpier/figpier"
 )
 
+// The kernel checks at start only that a service has the interface under whose name it is found.
+var _ figpier.Limiter = (*Limiter)(nil)
+
 // Limiter implements figpier.Limiter with a separate token bucket on each node.
 type Limiter struct {
 	clock figpier.Clock
