--- a/review/testdata/bed/upstream.go
+++ b/review/testdata/bed/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -141,3 +142,14 @@
 		_ = c.Close()
 	}
 }
+
+// Idle waits for a time, and returns false as soon as the other end closes the connection.
+func (c *Conn) Idle(d time.Duration) bool {
+	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
+	if err := c.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return false
+	}
+	_, err := c.Reader.Peek(1)
+	var timeout net.Error
+	return err == nil || errors.As(err, &timeout) && timeout.Timeout()
+}
