--- a/review/testdata/early/main.go
+++ b/review/testdata/early/main.go
@@ -28,14 +28,15 @@
 	// pieceBytes and pieceGap make a client send some 3 MB a second.
 	pieceBytes = 32 << 10
 	pieceGap   = 10 * time.Millisecond
-	// readBefore is how much of a body the faulty upstream reads before an early answer.
-	readBefore = 64 << 10
 	// answerBytes is within the sizes of answers of a small deployment.
 	answerBytes = 20000
 	wordBytes   = 8
 	deadline    = 5 * time.Second
 )
 
+// readBefore are the amounts of a body that the faulty upstream reads before an early answer, in turn.
+var readBefore = []int{64 << 10, longBytes - 128<<10}
+
 // word returns the bytes of a body at a multiple of wordBytes, which no other place of the body has.
 func word(offset int) string { return fmt.Sprintf("%07d\n", offset/wordBytes) }
 
@@ -48,6 +49,8 @@
 	answers int
 	early   int
 	wrong   int
+	// whole is how many of the wrong bodies ended like whole ones.
+	whole int
 }
 
 func main() {
@@ -91,7 +94,7 @@
 	time.Sleep(time.Second)
 	wrong := 0
 	for i, s := range servers {
-		b.Note("upstream %d: %d answers, %d of them early, %d bodies with other bytes than the client had sent there", i+1, s.answers, s.early, s.wrong)
+		b.Note("upstream %d: %d answers, %d of them early, %d bodies with other bytes than the client had sent there, %d of which ended like whole ones", i+1, s.answers, s.early, s.wrong, s.whole)
 		wrong += s.wrong
 	}
 	if b.Trouble && servers[0].early == 0 {
@@ -106,25 +109,25 @@
 	return s.answers
 }
 
-// countAnswer counts an answer, and returns whether to send it early.
-func (s *server) countAnswer(long bool) bool {
+// countAnswer counts an answer, and returns whether to send it early, and after how much of the body.
+func (s *server) countAnswer(long bool) (early bool, after int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answers++
 	if !s.faulty || !long || float64(s.early+1) > earlyShare*float64(s.answers) {
-		return false
+		return false, 0
 	}
 	s.early++
-	return true
+	return true, readBefore[s.early%len(readBefore)]
 }
 
 // run reads a request's body and answers it, the answer coming first if it is an early one. A body of a long request is in chunks.
 func (s *server) run(u *bed.Upstream, c *bed.Conn, r *http.Request) bool {
 	attempt, long := r.Header.Get("X-Attempt-Id"), r.ContentLength < 0
 	body := &checkedBody{reader: r.Body}
-	early := s.countAnswer(long)
+	early, after := s.countAnswer(long)
 	if early {
-		body.read(readBefore)
+		body.read(after)
 		err := u.Answer(c, r, "413 Content Too Large", strings.Repeat("a", answerBytes))
 		s.bed.Note("upstream %s: attempt %s: answered 413 after %d bytes of the body: %v", u.ID, attempt, body.offset, err)
 	}
@@ -132,6 +135,9 @@
 	if body.found != "" {
 		s.mu.Lock()
 		s.wrong++
+		if body.err == io.EOF {
+			s.whole++
+		}
 		s.mu.Unlock()
 		s.bed.Note("upstream %s: attempt %s: where byte %d of the body was due, it read %q instead of %q", u.ID, attempt, body.wrongAt, body.found, word(body.wrongAt))
 	}
