--- a/review/testdata/bed/bed.go
+++ b/review/testdata/bed/bed.go
@@ -61,6 +61,7 @@
 	processes []*Process
 	machines  int
 	seeds     []string
+	losses    int
 }
 
 // New returns a bed that records to record.txt in the case's folder, which is the program's only argument. The working directory
@@ -252,7 +253,7 @@
 		"application_address":       net.JoinHostPort(ip, portUpstream),
 		"seed_nodes":                b.seeds,
 		"is_bootstrap":              "true",
-		"fault_tolerance.machines":  "1",
+		"fault_tolerance.machines":  fmt.Sprint(b.losses),
 		"bounds.grace_period":       "6s",
 		"bounds.quota_window":       "5s",
 		"bounds.quota_overage":      "0.1",
@@ -265,22 +266,55 @@
 	}
 }
 
-// StartControls starts control instances, each in a zone of its own, and waits until one takes configurations.
+// maxSeeds is the number of control instances that the settings name.
+const maxSeeds = 3
+
+// StartControls starts control instances, each in a zone of its own. Less than half of them may be lost at the same time.
 func (b *Bed) StartControls(count int) []*Process {
+	b.losses = (count - 1) / 2
 	var all []*Process
 	for i := range count {
 		ip := b.newMachine()
 		all = append(all, b.newProcess(fmt.Sprintf("core-%d", i+1), ip, fmt.Sprintf("zone-%d", i+1), "control", "run"))
-		b.seeds = append(b.seeds, net.JoinHostPort(ip, portControl))
+		if len(b.seeds) < maxSeeds {
+			b.seeds = append(b.seeds, net.JoinHostPort(ip, portControl))
+		}
 	}
 	for _, p := range all {
-		fields := b.fields(p.Name, p.IP, p.Zone)
-		fields["data_directory"] = filepath.Join(b.folder, p.Name)
-		p.start("deploy/control.jsonc", fields)
+		p.startControl("true")
 	}
 	return all
 }
 
+func (p *Process) startControl(bootstrap string) {
+	fields := p.bed.fields(p.Name, p.IP, p.Zone)
+	fields["is_bootstrap"] = bootstrap
+	fields["data_directory"] = p.dataFolder()
+	p.start("deploy/control.jsonc", fields)
+}
+
+func (p *Process) dataFolder() string { return filepath.Join(p.bed.folder, p.Name) }
+
+// Kill kills the process and waits for its end.
+func (p *Process) Kill() {
+	p.bed.Note("platform: SIGKILL to %s", p.Name)
+	p.Signal(syscall.SIGKILL)
+	p.Wait(5 * time.Second)
+}
+
+// StartEmpty starts a control instance again, at its address and with an empty data folder.
+func (p *Process) StartEmpty() {
+	if err := os.RemoveAll(p.dataFolder()); err != nil {
+		p.bed.Fail("%v", err)
+	}
+	p.startControl("false")
+}
+
+// ConfigurationURL is where the operator reads and replaces the configuration at a control instance.
+func (p *Process) ConfigurationURL() string {
+	return "http://" + net.JoinHostPort(p.IP, portControl) + "/figpier/configuration"
+}
+
 // Node is a node with the machine that it shares with an upstream and clients.
 type Node struct {
 	*Process
