--- a/review/testdata/bed/bed.go
+++ b/review/testdata/bed/bed.go
@@ -270,7 +270,10 @@
 const maxSeeds = 3
 
 // StartControls starts control instances, each in a zone of its own. Less than half of them may be lost at the same time.
-func (b *Bed) StartControls(count int) []*Process {
+func (b *Bed) StartControls(count int) []*Process { return b.StartControlsApart(count, 0) }
+
+// StartControlsApart is StartControls with a pause between two starts.
+func (b *Bed) StartControlsApart(count int, pause time.Duration) []*Process {
 	b.losses = (count - 1) / 2
 	var all []*Process
 	for i := range count {
@@ -280,7 +283,10 @@
 			b.seeds = append(b.seeds, net.JoinHostPort(ip, portControl))
 		}
 	}
-	for _, p := range all {
+	for i, p := range all {
+		if i > 0 {
+			time.Sleep(pause)
+		}
 		p.startControl("true")
 	}
 	return all
@@ -310,11 +316,6 @@
 	p.startControl("false")
 }
 
-// ConfigurationURL is where the operator reads and replaces the configuration at a control instance.
-func (p *Process) ConfigurationURL() string {
-	return "http://" + net.JoinHostPort(p.IP, portControl) + "/figpier/configuration"
-}
-
 // Node is a node with the machine that it shares with an upstream and clients.
 type Node struct {
 	*Process
@@ -361,25 +362,37 @@
 	return false
 }
 
-// Configure sends the first configuration until it is accepted.
+// Configure sends the first configuration until it is accepted, and fails the run if it is not in time.
 func (b *Bed) Configure(routes, services []string) {
+	if !b.TryConfigure(20*time.Second, routes, services) {
+		b.Fail("no configuration was accepted")
+	}
+}
+
+// TryConfigure sends the first configuration until it is accepted, for at most a time, and returns whether it was.
+func (b *Bed) TryConfigure(limit time.Duration, routes, services []string) bool {
 	body := fmt.Sprintf(`{"version":"00000001","routes":{"columns":["name","host","path_prefix","kind","timeout","target_latency",`+
 		`"priority","service","max_attempts","public","weighted_services"],"rows":[%s]},"services":{"columns":["name","health_path",`+
 		`"max_connections","protocol","tls"],"rows":[%s]},"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,`+
 		`"header_timeout":"3000ms","idle_timeout":"15000ms"},"tenants":{"columns":["name","api_keys","priority","rate_per_s","burst"],`+
 		`"rows":[["pulo780",["%s"],1,0,0]]},"base_version":"00000000"}`, strings.Join(routes, ","), strings.Join(services, ","), Key)
+	answers := map[string]int{}
 	accepted := func() bool {
 		for _, seed := range b.seeds {
-			if status, _ := ask(http.MethodPut, "http://"+seed+"/figpier/configuration", body); status == http.StatusOK {
+			status, err := ask(http.MethodPut, "http://"+seed+"/figpier/configuration", body)
+			if status == http.StatusOK {
 				return true
 			}
+			answers[fmt.Sprintf("%d %v", status, err)]++
 		}
 		return false
 	}
-	if !Await(20*time.Second, accepted) {
-		b.Fail("no configuration was accepted")
+	if !Await(limit, accepted) {
+		b.Note("operator: configuration 00000001 was not acknowledged within %v; answers: %v", limit, answers)
+		return false
 	}
 	b.Note("operator: configuration 00000001 was acknowledged")
+	return true
 }
 
 // Key is the key of the only tenant in the configuration, and Tenant is its name.
