--- a/review/testdata/founding/main.go
+++ b/review/testdata/founding/main.go
@@ -14,7 +14,7 @@
 	controls = 5
 	// stagger lies between the starts of two control instances, all of which start within 0.3 s.
 	stagger   = 60 * time.Millisecond
-	killAfter = 400 * time.Millisecond
+	killAfter = 270 * time.Millisecond
 	dark      = 200 * time.Millisecond
 	// recovery is how long service may be suspended after all machines are back, and margin is left beyond it.
 	recovery = 15 * time.Second
