--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-for name in early stop late slashes founding; do
-  [ ! -d "review/testdata/$name" ] || go build -o review/bin/ "./review/testdata/$name"
+for main in review/testdata/*/main.go; do
+  go build -o review/bin/ "./$(dirname "$main")"
 done
--- a/review/testdata/bed/bed.go
+++ b/review/testdata/bed/bed.go
@@ -1,6 +1,7 @@
 package bed
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -41,10 +42,12 @@
 	portControl   = "8540"
 	portInbound   = "8543"
 	portReadiness = "8546"
-	portUpstream  = "8547"
 	portOutbound  = "8548"
 )
 
+// PortUpstream is the port of every upstream.
+const PortUpstream = "8547"
+
 // Program is the program that the deploy file's build line makes, relative to the repository root.
 const Program = "target/figpier"
 
@@ -250,7 +253,7 @@
 		"listen_addresses.outbound":      net.JoinHostPort(ip, portOutbound),
 		"listen_addresses.readiness_address": net.JoinHostPort(ip,
 			portReadiness),
-		"application_address":       net.JoinHostPort(ip, portUpstream),
+		"application_address":       net.JoinHostPort(ip, PortUpstream),
 		"seed_nodes":                b.seeds,
 		"is_bootstrap":              "true",
 		"fault_tolerance.machines":  fmt.Sprint(b.losses),
@@ -371,15 +374,34 @@
 
 // TryConfigure sends the first configuration until it is accepted, for at most a time, and returns whether it was.
 func (b *Bed) TryConfigure(limit time.Duration, routes, services []string) bool {
-	body := fmt.Sprintf(`{"version":"00000001","routes":{"columns":["name","host","path_prefix","kind","timeout","target_latency",`+
+	return b.PutConfiguration(limit, Configuration{Version: 1, Routes: routes, Services: services, Tenants: []string{TenantRow}})
+}
+
+// Configuration is a configuration that the operator sends.
+type Configuration struct {
+	Version, Base uint32
+	// Routes, Services and Tenants are rows as JSON texts.
+	Routes, Services, Tenants []string
+	// HeaderBytes is max_header_bytes, 16384 if it is 0.
+	HeaderBytes int
+}
+
+// body returns the body of the operator's call.
+func (c Configuration) body() string {
+	return fmt.Sprintf(`{"version":"%08x","routes":{"columns":["name","host","path_prefix","kind","timeout","target_latency",`+
 		`"priority","service","max_attempts","public","weighted_services"],"rows":[%s]},"services":{"columns":["name","health_path",`+
-		`"max_connections","protocol","tls"],"rows":[%s]},"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,`+
+		`"max_connections","protocol","tls"],"rows":[%s]},"limits":{"max_header_bytes":%d,"max_body_bytes":67108864,`+
 		`"header_timeout":"3000ms","idle_timeout":"15000ms"},"tenants":{"columns":["name","api_keys","priority","rate_per_s","burst"],`+
-		`"rows":[["pulo780",["%s"],1,0,0]]},"base_version":"00000000"}`, strings.Join(routes, ","), strings.Join(services, ","), Key)
+		`"rows":[%s]},"base_version":"%08x"}`, c.Version, strings.Join(c.Routes, ","), strings.Join(c.Services, ","),
+		cmp.Or(c.HeaderBytes, 16384), strings.Join(c.Tenants, ","), c.Base)
+}
+
+// PutConfiguration sends a configuration until it is acknowledged, for at most a time, and returns whether it was.
+func (b *Bed) PutConfiguration(limit time.Duration, c Configuration) bool {
 	answers := map[string]int{}
 	accepted := func() bool {
 		for _, seed := range b.seeds {
-			status, err := ask(http.MethodPut, "http://"+seed+"/figpier/configuration", body)
+			status, err := ask(http.MethodPut, "http://"+seed+"/figpier/configuration", c.body())
 			if status == http.StatusOK {
 				return true
 			}
@@ -388,10 +410,10 @@
 		return false
 	}
 	if !Await(limit, accepted) {
-		b.Note("operator: configuration 00000001 was not acknowledged within %v; answers: %v", limit, answers)
+		b.Note("operator: configuration %08x was not acknowledged within %v; answers: %v", c.Version, limit, answers)
 		return false
 	}
-	b.Note("operator: configuration 00000001 was acknowledged")
+	b.Note("operator: configuration %08x was acknowledged", c.Version)
 	return true
 }
 
@@ -401,6 +423,9 @@
 	Tenant = "pulo780"
 )
 
+// TenantRow is the row of that tenant, which has no limit.
+const TenantRow = `["` + Tenant + `",["` + Key + `"],1,0,0]`
+
 // Route returns the row of a route for Configure. Requests with the key may use it unless it is public.
 func Route(name, host, prefix, kind string, timeout time.Duration, service string, public bool) string {
 	return fmt.Sprintf(`[%q,%q,%q,%q,"%dms","1500ms",1,%q,2,%t,null]`, name, host, prefix, kind, timeout.Milliseconds(), service, public)
--- a/review/testdata/bed/upstream.go
+++ b/review/testdata/bed/upstream.go
@@ -36,7 +36,7 @@
 // StartUpstream starts an upstream beside a node. It does not send heartbeats yet.
 func (b *Bed) StartUpstream(n *Node, id string, run func(u *Upstream, c *Conn, r *http.Request) bool) *Upstream {
 	u := &Upstream{Node: n, ID: id, Born: time.Now(), Run: run, stop: make(chan struct{}), conns: map[net.Conn]struct{}{}}
-	l, err := net.Listen("tcp", net.JoinHostPort(n.IP, portUpstream))
+	l, err := net.Listen("tcp", net.JoinHostPort(n.IP, PortUpstream))
 	if err != nil {
 		b.Fail("%v", err)
 	}
@@ -99,7 +99,7 @@
 	defer u.mu.Unlock()
 	u.sequence++
 	return fmt.Sprintf(`{"service":%q,"address":"%s","zone":%q,"version":"v1","slots":72,"state":%q,"warmup_remaining":"0ms","sequence":%d,"born":%d}`,
-		u.Node.Service, net.JoinHostPort(u.Node.IP, portUpstream), u.Node.Zone, state, u.sequence, u.Born.UnixMilli())
+		u.Node.Service, net.JoinHostPort(u.Node.IP, PortUpstream), u.Node.Zone, state, u.sequence, u.Born.UnixMilli())
 }
 
 func (u *Upstream) url() string {
