--- a/review/3/run.sh
+++ /dev/null
@@ -1,7 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if a request ran with another path than it was sent with, with 0 if not, and with 2 if the case could not run.
-set -u
-folder=$(cd "$(dirname "$0")" && pwd) || exit 2
-cd "$folder/../.." || exit 2
-[ -x review/bin/slashes ] && [ -x target/figpier ] || exit 2
-exec review/bin/slashes "$folder"
