--- a/review/testdata/bed/bed.go
+++ b/review/testdata/bed/bed.go
@@ -426,9 +426,16 @@
 // TenantRow is the row of that tenant, which has no limit.
 const TenantRow = `["` + Tenant + `",["` + Key + `"],1,0,0]`
 
-// Route returns the row of a route for Configure. Requests with the key may use it unless it is public.
+// Route returns the row of a route for Configure, with a target latency of 1500 ms. Requests with the key may use it unless it is
+// public.
 func Route(name, host, prefix, kind string, timeout time.Duration, service string, public bool) string {
-	return fmt.Sprintf(`[%q,%q,%q,%q,"%dms","1500ms",1,%q,2,%t,null]`, name, host, prefix, kind, timeout.Milliseconds(), service, public)
+	return RouteWithTarget(name, host, prefix, kind, timeout, 1500*time.Millisecond, service, public)
+}
+
+// RouteWithTarget is Route with another target latency.
+func RouteWithTarget(name, host, prefix, kind string, timeout, target time.Duration, service string, public bool) string {
+	return fmt.Sprintf(`[%q,%q,%q,%q,"%dms","%dms",1,%q,2,%t,null]`,
+		name, host, prefix, kind, timeout.Milliseconds(), target.Milliseconds(), service, public)
 }
 
 // Service returns the row of a service for Configure.
