--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Exits with 1 if a call was lost in a planned stop, with 0 if not, and with 2 if the case could not run.
+set -u
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+[ -x review/bin/stop ] && [ -x target/figpier ] || exit 2
+exec review/bin/stop "$folder"
