Keep keys required once the last customer is removed

Cause: the adapter decoded a table of tenants without rows like one that is left out, and Table.Keyed was "has accounts", so that the gate took no request to need a key.

TestTenantsWithoutRowsLeaveNoKeyValid ("timeout hit after 20s: withdrawal") and TestTableWithoutAccountsKeepsItsNeedOfKeys failed with the old Table.Keyed, and pass with this one.

Why the mend works: the table itself says that requests need keys, on the wire between processes and in the log too. The field is written only for a table without accounts, so that the digests of all other tables are those of earlier builds.

--- a/internal/wire/codec/edit.go
+++ b/internal/wire/codec/edit.go
@@ -97,9 +97,12 @@
 }
 
 // fromOptional returns the empty string for a field that was left out.
-func fromOptional(s *string) string {
-	if s == nil {
-		return ""
+
+// fromOptional returns the value that a pointer of a message names, the zero value for none.
+func fromOptional[T any](p *T) T {
+	if p == nil {
+		var zero T
+		return zero
 	}
-	return *s
+	return *p
 }
--- a/internal/wire/codec/table.go
+++ b/internal/wire/codec/table.go
@@ -44,6 +44,10 @@
 	for _, a := range c.Accounts {
 		m.Accounts = append(m.Accounts, fromAccount(a))
 	}
+	if t.Keyed() && len(c.Accounts) == 0 {
+		required := true
+		m.KeysRequired = &required
+	}
 	return m
 }
 
@@ -82,8 +86,9 @@
 // invalid key digest.
 func ToTable(m message.Table) (*figpier.Table, error) {
 	c := figpier.TableConfig{
-		Number:   uint64(m.Number),
-		Revision: figpier.Revision(m.Revision),
+		Number:       uint64(m.Number),
+		Revision:     figpier.Revision(m.Revision),
+		KeysRequired: fromOptional(m.KeysRequired),
 		Limits: figpier.NewCallerLimits(figpier.CallerLimitsConfig{
 			HeaderBytes:   m.HeaderBytes,
 			BodyBytes:     int64(m.BodyBytes),
--- a/internal/wire/message/messages.go
+++ b/internal/wire/message/messages.go
@@ -2069,6 +2069,10 @@
 	// listener's default.
 	IdleTimeoutMillis int `json:"idleTimeoutMillis" msgpack:"idleTimeoutMillis"`
 
+	// KeysRequired is true in a table without accounts whose requests need a key all
+	// the same, and else absent.
+	KeysRequired *bool `json:"keysRequired,omitempty,omitzero" msgpack:"keysRequired,omitempty"`
+
 	// Number is the operator's version number of the table, which increases with each
 	// one.
 	Number int `json:"number" msgpack:"number"`
--- a/table.go
+++ b/table.go
@@ -200,8 +200,10 @@
 	Routes []*HostRoute
 	// Services holds the services in any order.
 	Services []*TableService
-	// Accounts holds the customers in any order. When it is empty, no request needs a key.
+	// Accounts holds the customers in any order.
 	Accounts []*Account
+	// KeysRequired marks a table whose requests need a key although it may have no accounts. With accounts they always do.
+	KeysRequired bool
 	// Limits bounds the size and duration of what callers send.
 	Limits CallerLimits
 	// Document is the table as the operator submitted it, empty on nodes.
@@ -262,7 +264,7 @@
 func (t *Table) Accounts() []*Account { return t.config.Accounts }
 
 // Keyed reports whether requests need a customer key, except on open routes.
-func (t *Table) Keyed() bool { return len(t.config.Accounts) > 0 }
+func (t *Table) Keyed() bool { return t.config.KeysRequired || len(t.config.Accounts) > 0 }
 
 // Route returns the route of a host whose prefix is the longest match for a path. A port in the host is ignored.
 func (t *Table) Route(host, path string) (*HostRoute, bool) {
