Take late requests of a planned stop only if they can end, and answer the rest

Cause: requests were taken for 0.6 of the grace time whatever their deadline, and everything in flight was cut by the end of the process one second before the kill, also what only waited.

Evidence: the connections close together at 5.0 s with no refusal counted. TestLateRequestsOfAPlannedStopAreNotCut failed before with "unexpected EOF" after 5.00 s for each late request, TestRequestInFlightIsAnsweredAtTheEndOfAPlannedStop with "unexpected EOF".

Why the mend works: a late request is taken only if its deadline passes before requests are ended; others are refused as not run, with a time to come back. What is in flight then is ended by a refusal that is written, within the last sixth of the grace time whatever that is.

--- a/exchange.go
+++ b/exchange.go
@@ -157,6 +157,11 @@
 	Ready() bool
 	// Leaving reports whether the node is shutting down and only finishes the requests on open connections.
 	Leaving() bool
+	// Take returns a *Refusal if the node is shutting down and might end before a request that was received at one time and has its
+	// deadline at another.
+	Take(received, deadline time.Time, p PriorityClass) error
+	// Ending returns a context that ends, with a *Refusal as its cause, when a shutdown ends the requests in flight.
+	Ending() context.Context
 }
 
 // AnnouncementConfig holds the arguments of NewAnnouncement.
--- a/internal/host/process/mesh.go
+++ b/internal/host/process/mesh.go
@@ -45,7 +45,17 @@
 	// servingFraction is the fraction of the grace time in which open connections are served; the rest is left to the last
 	// responses.
 	servingFraction = 0.6
-	// graceMargin is the time between the end of a planned stop and the kill of the process.
+	// maxOpenTime is how long a stopping node takes requests whatever time they have left. Those that are sent later than three
+	// seconds after the signal may not be cut; the rest allows for a signal that is noticed late.
+	maxOpenTime = 2500 * time.Millisecond
+	// openFraction bounds the open time by a fraction of the grace time.
+	openFraction = 0.5
+	// requestEndFraction is the fraction of the grace time after which requests in flight are ended. Those whose backend server is
+	// still at work may be ended in its last sixth only.
+	requestEndFraction = 0.88
+	// stopFraction is the fraction of the grace time after which a planned stop is over; the rest is left to the end of the process.
+	stopFraction = 0.93
+	// graceMargin is the time between the end of a control instance's planned stop and the kill of the process.
 	graceMargin = time.Second
 	// backendTimeout is the age at which the backend server's last announcement expires. It spans several announcement
 	// intervals, as announcements can be seconds late.
@@ -127,7 +137,12 @@
 		}),
 		platform.NewReadinessProbe(platform.ReadinessProbeConfig{Address: m.Readiness}),
 		platform.NewCallerListener(platform.CallerListenerConfig{Address: m.Callers}),
-		stopping.New(stopping.Config{DrainTime: scaleDuration(m.Grace, servingFraction), Log: l}),
+		stopping.New(stopping.Config{
+			OpenTime:  min(maxOpenTime, scaleDuration(m.Grace, openFraction)),
+			DrainTime: scaleDuration(m.Grace, servingFraction),
+			EndTime:   scaleDuration(m.Grace, requestEndFraction),
+			Log:       l,
+		}),
 	)
 }
 
--- a/internal/host/process/node.go
+++ b/internal/host/process/node.go
@@ -166,10 +166,10 @@
 }
 
 // StopTimeout returns the longest time that a planned stop of the process may take. Where the settings name the time until
-// the process is killed, it ends graceMargin earlier.
+// the process is killed, it ends before that.
 func StopTimeout(s *settings.Settings) time.Duration {
 	if m := s.Mesh(); m != nil {
-		return m.Grace - graceMargin
+		return scaleDuration(m.Grace, stopFraction)
 	}
 	if c := s.Control(); c != nil && c.Grace > 0 {
 		return time.Duration(c.Grace) - graceMargin
--- a/internal/link/web/deadline.go
+++ b/internal/link/web/deadline.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
+
+	"github.com/figpier/figpier"
 )
 
 // refusalMargin is the time after a request's deadline in which a refusal may still be written.
@@ -19,6 +22,26 @@
 	return func() { _ = c.SetWriteDeadline(time.Time{}) }
 }
 
+// WithEnding returns a context derived from ctx that also ends, with the same cause, when ending does. The caller must call release when
+// the request has ended.
+func WithEnding(ctx, ending context.Context) (derived context.Context, release func()) {
+	derived, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(ending, func() { cancel(context.Cause(ending)) })
+	return derived, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// CancelReason returns why a request was cancelled: the reason of the refusal that ended its context, or that its caller went away.
+func CancelReason(ctx context.Context) figpier.RefusalReason {
+	var ended *figpier.Refusal
+	if errors.As(context.Cause(ctx), &ended) {
+		return ended.Reason()
+	}
+	return figpier.RefusalGivenUp
+}
+
 // AbortWritesOnDone makes writes of an answer fail once the context ends, also a write that is blocked because the caller doesn't
 // read. The handler must call release before it returns.
 func AbortWritesOnDone(ctx context.Context, w http.ResponseWriter) (release func()) {
--- a/internal/traffic/delivery/deliver.go
+++ b/internal/traffic/delivery/deliver.go
@@ -37,7 +37,7 @@
 	defer cancel()
 	t, err := s.admission.Admit(wait, c)
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
-		return nil, figpier.Refuse(figpier.RefusalGivenUp)
+		return nil, figpier.Refuse(web.CancelReason(ctx))
 	}
 	return t, err
 }
@@ -165,7 +165,7 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		c.Reason = figpier.RefusalDeadline
 	case kind == figpier.OutcomeCancelled:
-		c.Reason = figpier.RefusalGivenUp
+		c.Reason = web.CancelReason(ctx)
 	}
 	return figpier.NewRefusal(c)
 }
--- a/internal/traffic/delivery/server.go
+++ b/internal/traffic/delivery/server.go
@@ -36,6 +36,7 @@
 	config    Config
 	clock     figpier.Clock
 	view      figpier.ConfigurationView
+	ready     figpier.Readiness
 	admission figpier.Admission
 	backend   figpier.Backend
 	dialect   figpier.Dialect
@@ -67,6 +68,9 @@
 	if s.view, err = figpier.FindView(d); err != nil {
 		return err
 	}
+	if s.ready, err = figpier.FindReadiness(d); err != nil {
+		return err
+	}
 	if s.admission, err = figpier.FindAdmission(d); err != nil {
 		return err
 	}
@@ -99,7 +103,9 @@
 	}
 	call := figpier.NewCall(c)
 	defer web.SetRequestDeadline(w, c.Deadline.Sub(now))()
-	answer, err := s.Deliver(r.Context(), call, inbound(r, call, now))
+	ctx, release := web.WithEnding(r.Context(), s.ready.Ending())
+	defer release()
+	answer, err := s.deliverRemote(ctx, call, inbound(r, call, now))
 	w.Header().Set(figpier.HeaderCutOff, strconv.FormatUint(uint64(s.admission.CutOff()), 10))
 	if err != nil {
 		s.refuse(w, call, web.AsRefusal(err))
@@ -112,6 +118,14 @@
 	}
 }
 
+// deliverRemote delivers a call of another node, unless this node is stopping and might end before the call.
+func (s *Server) deliverRemote(ctx context.Context, c *figpier.Call, i *figpier.Inbound) (*figpier.Answer, error) {
+	if err := s.ready.Take(i.Received(), c.Deadline(), c.Priority()); err != nil {
+		return nil, err
+	}
+	return s.Deliver(ctx, c, i)
+}
+
 // inbound returns the request that another node forwarded.
 func inbound(r *http.Request, c *figpier.Call, now time.Time) *figpier.Inbound {
 	return figpier.NewInbound(figpier.InboundConfig{
--- a/internal/traffic/forward/attempts.go
+++ b/internal/traffic/forward/attempts.go
@@ -248,7 +248,7 @@
 		c.Reason = figpier.RefusalDeadline
 		kind = figpier.OutcomeExpired
 	case ctx.Err() != nil || sent.SenderFailed():
-		c.Reason = figpier.RefusalGivenUp
+		c.Reason = web.CancelReason(ctx)
 		kind = figpier.OutcomeCancelled
 	}
 	return &attempt{refusal: figpier.NewRefusal(c), kind: kind, cutOff: figpier.MaxRank}
--- a/internal/traffic/forward/forwarder.go
+++ b/internal/traffic/forward/forwarder.go
@@ -41,6 +41,7 @@
 	config    Config
 	clock     figpier.Clock
 	view      figpier.ConfigurationView
+	ready     figpier.Readiness
 	gate      figpier.Gate
 	router    figpier.Router
 	admission figpier.Admission
@@ -82,6 +83,9 @@
 	if f.view, err = figpier.FindView(d); err != nil {
 		return err
 	}
+	if f.ready, err = figpier.FindReadiness(d); err != nil {
+		return err
+	}
 	if f.gate, err = figpier.FindGate(d); err != nil {
 		return err
 	}
@@ -125,8 +129,22 @@
 	}
 }
 
-// Forward implements figpier.Forwarder. The deadline of the call holds until the answer's body has been read.
+// Forward implements figpier.Forwarder. The deadline of the call holds until the answer's body has been read, and so does the end of
+// the node's requests in a shutdown.
 func (f *Forwarder) Forward(ctx context.Context, i *figpier.Inbound) (*figpier.Answer, error) {
+	ctx, release := web.WithEnding(ctx, f.ready.Ending())
+	a, err := f.enterAndRun(ctx, i)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	answer := a.Config()
+	answer.Body = web.NewWatchedBody(a.Body(), func(error) { release() })
+	return figpier.NewAnswer(answer), nil
+}
+
+// enterAndRun admits a request and runs its attempts.
+func (f *Forwarder) enterAndRun(ctx context.Context, i *figpier.Inbound) (*figpier.Answer, error) {
 	var keys []string
 	if i.Key() != "" {
 		keys = []string{i.Key()}
--- a/internal/traffic/tablegate/gate.go
+++ b/internal/traffic/tablegate/gate.go
@@ -40,6 +40,7 @@
 	view    figpier.ConfigurationView
 	limiter figpier.Limiter
 	ranker  figpier.Ranker
+	ready   figpier.Readiness
 
 	mu         sync.Mutex // guards the fields below
 	roundRobin *roundrobin.Table
@@ -62,7 +63,10 @@
 	if g.limiter, err = figpier.FindLimiter(d); err != nil {
 		return err
 	}
-	g.ranker, err = figpier.FindRanker(d)
+	if g.ranker, err = figpier.FindRanker(d); err != nil {
+		return err
+	}
+	g.ready, err = figpier.FindReadiness(d)
 	return err
 }
 
@@ -89,6 +93,9 @@
 		Idempotent:    route.Idempotent(),
 		CallerService: g.config.Service,
 	}
+	if err := g.ready.Take(a.Received(), c.Deadline, c.Priority); err != nil {
+		return figpier.NewCall(c), err
+	}
 	patience := c.Deadline.Sub(a.Received())
 	if route.Target() > 0 {
 		patience = min(patience, route.Target())
--- a/refusal.go
+++ b/refusal.go
@@ -40,6 +40,7 @@
 	RefusalNotReady       RefusalReason = "not-ready"
 	RefusalAnswerBroken   RefusalReason = "answer-broken"
 	RefusalGivenUp        RefusalReason = "given-up"
+	RefusalStopping       RefusalReason = "stopping"
 )
 
 // RefusalKind is an entry in the table of refusal reasons.
@@ -92,6 +93,7 @@
 	{RefusalNotReady, http.StatusServiceUnavailable, true, "the node has no routing table yet"},
 	{RefusalAnswerBroken, http.StatusBadGateway, false, "the backend server sent an answer that does not belong to the request"},
 	{RefusalGivenUp, http.StatusServiceUnavailable, true, "the caller went away before the request was run"},
+	{RefusalStopping, http.StatusServiceUnavailable, true, "the node is stopping and ends before the request might"},
 }
 
 // RefusalKinds returns a copy of the table of refusal reasons, in a fixed order.
