Forward a body unchanged after an early answer

Cause: before it writes the head of an answer, the HTTP server reads up to 256 KiB of the request's body and throws them away, while the transport still sends that body on. Only the product's own listeners asked for full duplex, and only for answers.

Evidence: TestBodyIsForwardedUnchangedAfterAnEarlyAnswer failed before for the answer 413 ("45056 bytes, which are no beginning of the body"); its case of an early refusal passed before.

Why the mend works: a ReceivedBody stands between the body and its reader. Before an answer it asks for full duplex unless the body has ended; before a refusal it also stops whoever still passes the body on. On a related path, found by reading, an attempt that is over could begin to read after the next one had started; ReplayableBody.Reclaim rules that out.

Each refusal and answer to a whole body keeps its connection.

--- a/internal/link/web/forward.go
+++ b/internal/link/web/forward.go
@@ -86,7 +86,6 @@
 // is passed on byte for byte, and the headers are copied.
 func NewForwardRequest(ctx context.Context, address string, i *figpier.Inbound, body io.ReadCloser) (*http.Request, *Attempt) {
 	a := &Attempt{}
-	a.bodyEnded.Store(i.Length() == 0)
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.reached.Store(true) }}
 	path, query, hasQuery := strings.Cut(i.Target(), "?")
 	header := i.Header().Clone()
--- a/internal/link/web/relay.go
+++ b/internal/link/web/relay.go
@@ -21,7 +21,6 @@
 type Attempt struct {
 	reached      atomic.Bool
 	senderFailed atomic.Bool
-	bodyEnded    atomic.Bool
 }
 
 // Reached reports whether the request got a connection, so that a byte of it may have reached the other end.
@@ -47,7 +46,6 @@
 	switch {
 	case err == io.EOF:
 		b.copyTrailer()
-		b.attempt.bodyEnded.Store(true)
 	case err != nil:
 		b.attempt.senderFailed.Store(true)
 	}
@@ -67,7 +65,6 @@
 // attempt. Hop-by-hop headers and those that only the system may set are left out.
 func NewRelayRequest(ctx context.Context, r *http.Request, address string, body io.ReadCloser, length int64) (*http.Request, *Attempt) {
 	a := &Attempt{}
-	a.bodyEnded.Store(length == 0)
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.reached.Store(true) }}
 	trailer := allowedTrailers(r.Trailer)
 	out := (&http.Request{
@@ -116,16 +113,6 @@
 	return answer.ProtoMajor > 1 || answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
 }
 
-// PrepareEarlyAnswer prepares for an answer that begins before the request's body has been read to its end. On HTTP/1.1 the connection
-// is then closed after the answer, because the rest of the body must not be read as another request.
-func PrepareEarlyAnswer(w http.ResponseWriter, r *http.Request, a *Attempt) {
-	if r.ProtoMajor > 1 || a.bodyEnded.Load() {
-		return
-	}
-	_ = http.NewResponseController(w).EnableFullDuplex()
-	w.Header().Set("Connection", "close")
-}
-
 // RelayResponse streams an answer with its end-to-end headers and its trailers. It returns an error if the answer breaks off
 // or can't be written.
 func RelayResponse(w http.ResponseWriter, answer *http.Response) error {
--- a/internal/link/web/replayable_body.go
+++ b/internal/link/web/replayable_body.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"io"
-	"sync/atomic"
+	"sync"
 
 	"github.com/figpier/figpier"
 )
@@ -18,8 +18,12 @@
 	// streamed is nil for a buffered body.
 	streamed io.ReadCloser
 	length   int64
+
+	mu sync.Mutex // guards the fields below
+	// attempt numbers the attempts, of which only the last may read a streamed body.
+	attempt int
 	// started is set once a streamed body has been read from.
-	started atomic.Bool
+	started bool
 }
 
 // NewReplayableBody reads the whole body if it is to be buffered, and returns a *figpier.Refusal if it breaks off. A length of -1
@@ -38,29 +42,58 @@
 // Length returns the length of the body in bytes, -1 where it is not known.
 func (b *ReplayableBody) Length() int64 { return b.length }
 
-// Body returns the body for one attempt.
+// Body returns the body for one attempt, and takes a streamed body from the attempt before.
 func (b *ReplayableBody) Body() io.ReadCloser {
 	if b.streamed == nil {
 		return io.NopCloser(bytes.NewReader(b.buffered))
 	}
-	return &startedBody{ReadCloser: b.streamed, started: &b.started}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.attempt++
+	return &attemptBody{ReadCloser: b.streamed, body: b, attempt: b.attempt}
+}
+
+// Reclaim reports whether a further attempt is possible, because no one has read from a streamed body. The last attempt, whose
+// goroutines may outlive it, then can't read from it any more.
+func (b *ReplayableBody) Reclaim() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.started {
+		return false
+	}
+	b.attempt++
+	return true
 }
 
-// Consumed reports whether no further attempt is possible, because a streamed body has been read from.
-func (b *ReplayableBody) Consumed() bool { return b.streamed != nil && b.started.Load() }
+// begin reports whether an attempt may read the body, and notes that it does.
+func (b *ReplayableBody) begin(attempt int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if attempt != b.attempt {
+		return false
+	}
+	b.started = true
+	return true
+}
 
-// startedBody records whether a streamed body has been read from.
-type startedBody struct {
+// attemptBody is a streamed body as one attempt reads it.
+type attemptBody struct {
 	io.ReadCloser
-	started *atomic.Bool
+	body    *ReplayableBody
+	attempt int
 }
 
+// errReclaimed reports a read by an attempt that is over.
+var errReclaimed = Error.New("the body is read by another attempt")
+
 // Read implements io.Reader.
-func (b *startedBody) Read(p []byte) (int, error) {
-	b.started.Store(true)
+func (b *attemptBody) Read(p []byte) (int, error) {
+	if !b.body.begin(b.attempt) {
+		return 0, errReclaimed
+	}
 	return b.ReadCloser.Read(p)
 }
 
 // Close implements io.Closer. It leaves the body open for another attempt that may still read it; the HTTP server closes it
 // when the handler returns.
-func (b *startedBody) Close() error { return nil }
+func (b *attemptBody) Close() error { return nil }
--- a/internal/traffic/backend/serve.go
+++ b/internal/traffic/backend/serve.go
@@ -30,6 +30,7 @@
 		s.cutOffs.Record(c, live.CutOff())
 		s.counters.Observe("backend", elapsed)
 	}()
+	received := web.ReceiveBody(r)
 	out, attempt := web.NewRelayRequest(run.Context(), r, run.Address(), r.Body, r.ContentLength)
 	out.Header.Set(figpier.HeaderCall, string(run.Handle()))
 	out.Header.Set(figpier.HeaderRequestID, string(c.RequestID()))
@@ -37,13 +38,14 @@
 	if err != nil {
 		kind = failureKind(attempt, run.Context())
 		s.setResultHeaders(w, c, live.TakeBudget(c.Budget()), live.CutOff())
+		received.PrepareRefusal(w, r)
 		s.refuse(w, c, s.failureRefusal(kind, attempt, run.Context(), err))
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
 	kind = s.passNotRunMark(w, answer, c, live)
 	s.setResultHeaders(w, c, live.TakeBudget(c.Budget()), live.CutOff())
-	web.PrepareEarlyAnswer(w, r, attempt)
+	received.PrepareAnswer(w, r)
 	if err := writeAnswer(run.Context(), w, answer); err != nil {
 		kind = failureKind(attempt, run.Context())
 		// Abort the connection, so that a truncated answer is not taken for a complete one.
--- a/internal/traffic/delivery/server.go
+++ b/internal/traffic/delivery/server.go
@@ -105,12 +105,15 @@
 	defer web.SetRequestDeadline(w, c.Deadline.Sub(now))()
 	ctx, release := web.WithEnding(r.Context(), s.ready.Ending())
 	defer release()
+	received := web.ReceiveBody(r)
 	answer, err := s.deliverRemote(ctx, call, inbound(r, call, now))
 	w.Header().Set(figpier.HeaderCutOff, strconv.FormatUint(uint64(s.admission.CutOff()), 10))
 	if err != nil {
+		received.PrepareRefusal(w, r)
 		s.refuse(w, call, web.AsRefusal(err))
 		return
 	}
+	received.PrepareAnswer(w, r)
 	defer func() { _ = answer.Body().Close() }()
 	if err := web.StreamAnswer(w, answer); err != nil {
 		// Abort the connection, so that a truncated answer is not taken for a complete one.
--- a/internal/traffic/exit/attempts.go
+++ b/internal/traffic/exit/attempts.go
@@ -35,6 +35,7 @@
 // runAttempts attempts the call at one member after another until there is an answer or no further attempt is allowed. The
 // live call takes note of every cut-off met on the way.
 func (h *Handler) runAttempts(ctx context.Context, w http.ResponseWriter, r *http.Request, c *figpier.Call, l figpier.LiveCall) {
+	received := web.ReceiveBody(r)
 	body, err := web.NewReplayableBody(r.Body, r.ContentLength)
 	if err != nil {
 		h.refuse(w, c, web.AsRefusal(err))
@@ -48,6 +49,7 @@
 		m, err := h.router.Pick(c, tried)
 		if err != nil {
 			l.RecordCutOff(h.router.CutOff(c.Service()))
+			received.PrepareRefusal(w, r)
 			h.giveUp(w, c, last.orRefusal(err), ran)
 			return
 		}
@@ -56,7 +58,7 @@
 		a := h.startAttempt(ctx, r, c, l, m, body)
 		l.RecordCutOff(h.router.CutOff(c.Service()))
 		if a.outcome.Kind() == figpier.OutcomeDone {
-			web.PrepareEarlyAnswer(w, r, a.sent)
+			received.PrepareAnswer(w, r)
 			h.streamAnswer(ctx, w, a)
 			return
 		}
@@ -64,6 +66,7 @@
 		l.RecordCutOff(h.router.CutOff(c.Service()))
 		ran = ran || mayHaveRun(a.outcome.Kind())
 		if !h.mayRetry(ctx, c, l, a.outcome, body) {
+			received.PrepareRefusal(w, r)
 			h.giveUp(w, c, a, ran)
 			return
 		}
@@ -77,7 +80,7 @@
 	case ctx.Err() != nil:
 		h.recordRetryDecision(c, figpier.NoRetryDeadline)
 		return false
-	case b.Consumed():
+	case !b.Reclaim():
 		h.recordRetryDecision(c, figpier.NoRetryBodyStarted)
 		return false
 	}
--- a/internal/traffic/forward/attempts.go
+++ b/internal/traffic/forward/attempts.go
@@ -104,7 +104,7 @@
 	switch {
 	case ctx.Err() != nil || c.Deadline().Sub(now) < minRetryTime:
 		return figpier.NoRetryDeadline, false
-	case body.Consumed():
+	case !body.Reclaim():
 		return figpier.NoRetryBodyStarted, false
 	case p.ran && !c.Idempotent():
 		return figpier.NoRetryUnsafe, false
