Believe a refusal only if it names its request

What callers would see (reported by operators of similar systems): a faulty upstream writes an earlier refusal once more on a kept connection; the caller of a request that runs is told "not run, try again", or a second upstream runs it (REFUSED, TWICE).

On the product's own interface the mark Figpier-Not-Run was believed without any name.

The stand-ins of test/path that refuse now name the request.

--- a/internal/traffic/backend/serve.go
+++ b/internal/traffic/backend/serve.go
@@ -53,14 +53,20 @@
 	}
 }
 
-// roundTrip sends a request and returns its answer. It refuses an answer with neither a length nor chunks, as the end of
-// such an answer can't be distinguished from a broken connection.
+// roundTrip sends a request and returns its answer. It refuses an answer that names another request, and one with neither a length
+// nor chunks, as the end of such an answer can't be distinguished from a broken connection.
 func (s *Server) roundTrip(out *http.Request) (*http.Response, error) {
 	answer, err := s.transport.RoundTrip(out)
 	if err != nil {
 		s.closeIdleAfterTimeout(out.Context())
 		return nil, err
 	}
+	if named := answer.Header.Get(figpier.HeaderRequestID); named != "" && named != out.Header.Get(figpier.HeaderRequestID) {
+		_ = answer.Body.Close()
+		// The backend server has written an earlier answer once more, maybe on other connections too.
+		s.transport.CloseIdleConnections()
+		return nil, figpier.Refuse(figpier.RefusalAnswerBroken)
+	}
 	if out.Method != http.MethodHead && !web.HasDetectableEnd(answer) {
 		_ = answer.Body.Close()
 		return nil, Error.New("the answer states neither a length nor chunks")
@@ -83,9 +89,10 @@
 }
 
 // passNotRunMark passes on a backend server's "not run" mark, and returns the outcome. A request that has made exit calls
-// has run in part, so its mark is ignored; from then on it may make no exit calls.
+// has run in part, so its mark is ignored; from then on it may make no exit calls. A mark that does not name the request is ignored
+// too, as it may be that of an earlier refusal on the same connection.
 func (s *Server) passNotRunMark(w http.ResponseWriter, answer *http.Response, c *figpier.Call, l figpier.LiveCall) figpier.OutcomeKind {
-	if answer.Header.Get(figpier.HeaderNotRun) != figpier.NotRunMark {
+	if answer.Header.Get(figpier.HeaderNotRun) != figpier.NotRunMark || answer.Header.Get(figpier.HeaderRequestID) != string(c.RequestID()) {
 		return figpier.OutcomeDone
 	}
 	if answer.StatusCode != http.StatusServiceUnavailable && answer.StatusCode != http.StatusTooManyRequests {
@@ -142,10 +149,12 @@
 		ProvenNotRun: unreached,
 		Detail:       err.Error(),
 	}
-	var ended *figpier.Refusal
+	var ended, broken *figpier.Refusal
 	switch {
 	case errors.As(context.Cause(ctx), &ended):
 		c.Reason = ended.Reason()
+	case errors.As(err, &broken):
+		c.Reason = broken.Reason()
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		c.Reason = figpier.RefusalDeadline
 		c.RetryAfter = time.Second
--- a/test/path/forwarding_test.go
+++ b/test/path/forwarding_test.go
@@ -256,8 +256,8 @@
 	answers := map[string]http.HandlerFunc{
 		"connection closed": func(w http.ResponseWriter, _ *http.Request) { closeConnection(w) },
 		"incomplete":        func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "9") },
-		"not run": func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(figpier.HeaderNotRun, "true")
+		"not run": func(w http.ResponseWriter, r *http.Request) {
+			markNotRun(w, r)
 			w.WriteHeader(503)
 		},
 		"complete": func(http.ResponseWriter, *http.Request) {},
--- a/test/path/not_run_test.go
+++ b/test/path/not_run_test.go
@@ -74,13 +74,45 @@
 	}
 }
 
+// markNotRun marks the answer to a request as one that says that the request was not run.
+func markNotRun(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(figpier.HeaderNotRun, figpier.NotRunMark)
+	w.Header().Set(figpier.HeaderRequestID, r.Header.Get(figpier.HeaderRequestID))
+}
+
+// TestEarlierRefusalIsNotTakenForTheRequests guards against a backend server that writes an earlier refusal once more on a kept
+// connection: the caller of a request that runs must not be told that it was not run, and no other backend server may run it.
+func TestEarlierRefusalIsNotTakenForTheRequests(t *testing.T) {
+	tests := map[string]struct {
+		named  string
+		status int
+	}{
+		"naming another request": {"an-earlier-request", http.StatusBadGateway},
+		"naming none":            {"", http.StatusServiceUnavailable},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := newNode(t, newView(0, "a"), "a").serve(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(figpier.HeaderNotRun, figpier.NotRunMark)
+				if tt.named != "" {
+					w.Header().Set(figpier.HeaderRequestID, tt.named)
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			p := mustSend(t, newClient(t, false), n.request(http.MethodGet, "/x", nil))
+			assert.Equal(t, p.status, tt.status)
+			assert.Assert(t, !p.notRun())
+		})
+	}
+}
+
 func TestNotRunMarkIsDroppedWhenTheRequestMayHaveRun(t *testing.T) {
 	v := newView(0, "a", "b")
 	a := newNode(t, v, "a")
 	exitClient := a.exitClient()
 	newNode(t, v, "b").serve(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	refuse := func(w http.ResponseWriter, status int) {
-		w.Header().Set(figpier.HeaderNotRun, figpier.NotRunMark)
+	refuse := func(w http.ResponseWriter, r *http.Request, status int) {
+		markNotRun(w, r)
 		w.WriteHeader(status)
 	}
 	markReceived := make(chan struct{})
@@ -88,19 +120,19 @@
 	a.serve(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/honest":
-			refuse(w, http.StatusServiceUnavailable)
+			refuse(w, r, http.StatusServiceUnavailable)
 		case "/success":
-			refuse(w, http.StatusOK)
+			refuse(w, r, http.StatusOK)
 		case "/failure":
-			refuse(w, http.StatusInternalServerError)
+			refuse(w, r, http.StatusInternalServerError)
 		case "/after-exit":
 			answer, err := a.exitCall(exitClient, r, http.MethodGet, "http://b.figpier/x", nil)
 			if err == nil {
 				answer.Body.Close()
 			}
-			refuse(w, http.StatusServiceUnavailable)
+			refuse(w, r, http.StatusServiceUnavailable)
 		case "/before-exit":
-			refuse(w, http.StatusServiceUnavailable)
+			refuse(w, r, http.StatusServiceUnavailable)
 			_ = http.NewResponseController(w).Flush()
 			<-markReceived
 			answer, err := a.exitCall(exitClient, r, http.MethodGet, "http://b.figpier/x", nil)
@@ -136,8 +168,8 @@
 
 func TestRefusalAfterAFailedAttemptIsNotMarkedNotRun(t *testing.T) {
 	fail := func(w http.ResponseWriter, _ *http.Request) { closeConnection(w) }
-	refuse := func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set(figpier.HeaderNotRun, figpier.NotRunMark)
+	refuse := func(w http.ResponseWriter, r *http.Request) {
+		markNotRun(w, r)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = io.WriteString(w, `{"notRun": true}`)
 	}
@@ -181,8 +213,8 @@
 		second string
 	}{
 		"whole answer": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }, string(figpier.RefusalAlreadyRun)},
-		"not run": {func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(figpier.HeaderNotRun, figpier.NotRunMark)
+		"not run": {func(w http.ResponseWriter, r *http.Request) {
+			markNotRun(w, r)
 			w.WriteHeader(http.StatusTooManyRequests)
 		}, ""},
 		"no answer": {func(w http.ResponseWriter, _ *http.Request) { closeConnection(w) }, string(figpier.RefusalClaimUnknown)},
