--- a/internal/traffic/upstream/event.go
+++ b/internal/traffic/upstream/event.go
@@ -95,11 +95,14 @@
 }
 
 // outdated reports whether an announcement is not newer than the newest one. Announcements of one incarnation are ordered by
-// sequence number, those of different incarnations by start time.
+// sequence number, those of different incarnations by start time. One that names no start can't replace one that does.
 func outdated(a, newest figpier.Announcement) bool {
 	if sameIncarnation(a, newest) {
 		return a.Sequence() <= newest.Sequence()
 	}
+	if a.Started().IsZero() && !newest.Started().IsZero() {
+		return true
+	}
 	return !a.Started().IsZero() && a.Started().Before(newest.Started())
 }
 
