Forward a path that begins with two slashes as it is

Cause: net/http writes the scheme before an opaque path that begins with two slashes, so that what follows is read as a host.

Why the mend works: such a path is given as an escaped one, which net/http sends as it is. If it holds characters that a URL must escape, it could not be sent byte for byte, and is refused as malformed.

--- a/internal/link/web/forward.go
+++ b/internal/link/web/forward.go
@@ -87,21 +87,14 @@
 func NewForwardRequest(ctx context.Context, address string, i *figpier.Inbound, body io.ReadCloser) (*http.Request, *Attempt) {
 	a := &Attempt{}
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.reached.Store(true) }}
-	path, query, hasQuery := strings.Cut(i.Target(), "?")
 	header := i.Header().Clone()
 	if header.Get("User-Agent") == "" {
 		// Without an entry net/http adds a User-Agent of its own.
 		header.Set("User-Agent", "")
 	}
 	out := &http.Request{
-		Method: i.Method(),
-		URL: &url.URL{
-			Scheme:     "http",
-			Host:       address,
-			Opaque:     path,
-			RawQuery:   query,
-			ForceQuery: hasQuery && query == "",
-		},
+		Method:        i.Method(),
+		URL:           forwardURL(address, i.Target()),
 		Host:          i.Host(),
 		Header:        header,
 		Body:          http.NoBody,
@@ -113,6 +106,28 @@
 	return out.WithContext(httptrace.WithClientTrace(ctx, trace)), a
 }
 
+// slashes begin a path that net/http would send in absolute form, as a host, if it were given as an opaque one.
+const slashes = "//"
+
+// forwardURL returns the URL of a request to an address whose target is sent byte for byte, if Forwardable reports true for it.
+func forwardURL(address, target string) *url.URL {
+	path, query, hasQuery := strings.Cut(target, "?")
+	u := &url.URL{Scheme: "http", Host: address, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	if !strings.HasPrefix(path, slashes) {
+		u.Opaque = path
+		return u
+	}
+	u.RawPath = path
+	u.Path, _ = url.PathUnescape(path)
+	return u
+}
+
+// Forwardable reports whether a request's target can be sent on byte for byte. Only a path that begins with two slashes and holds
+// characters that a URL must escape can't.
+func Forwardable(target string) bool {
+	return !strings.HasPrefix(target, slashes) || forwardURL("", target).RequestURI() == target
+}
+
 // retriedByTransport reports whether net/http resends a request without a body by itself when its connection breaks. Such
 // requests get a body that the transport can't replay, because the caller of NewForwardRequest decides on retries.
 func retriedByTransport(i *figpier.Inbound) bool {
--- a/internal/link/web/forward_test.go
+++ b/internal/link/web/forward_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/figpier/figpier"
 )
 
 // endlessServer accepts connections, reads a request on each, and sends the start once and the rest over and over until the
@@ -57,6 +59,25 @@
 	}
 }
 
+// TestTargetIsSentByteForByte guards against a path that runs as another one: net/http takes what follows two slashes at the beginning of
+// an opaque path for a host.
+func TestTargetIsSentByteForByte(t *testing.T) {
+	for _, target := range []string{
+		"/", "/a?b=c", "/a?", "/%7Ea//b/../c;x=1?q=%20&&z",
+		"//", "//a/b/1?page=2", "//a:80@b/c?", "///a", "//%2F%2f/%41?//", "//a/b;c=1,2/(d)",
+	} {
+		assert.Assert(t, Forwardable(target), target)
+		i := figpier.NewInbound(figpier.InboundConfig{Method: http.MethodGet, Host: "pups.example", Target: target, Header: http.Header{}})
+		out, _ := NewForwardRequest(t.Context(), "10.1.0.26:8547", i, http.NoBody)
+		var sent strings.Builder
+		assert.NilError(t, out.Write(&sent))
+		assert.Assert(t, strings.HasPrefix(sent.String(), "GET "+target+" HTTP/1.1\r\nHost: pups.example\r\n"), sent.String())
+	}
+	for _, target := range []string{"//a\"b", "//a%zz", "//\xff"} {
+		assert.Assert(t, !Forwardable(target), target)
+	}
+}
+
 // TestAnswerHeadWithoutEndIsCutOff covers servers that send bytes which are no answer until the caller closes: they must cost
 // neither the memory of the process nor a connection for ever.
 func TestAnswerHeadWithoutEndIsCutOff(t *testing.T) {
--- a/internal/traffic/forward/forwarder.go
+++ b/internal/traffic/forward/forwarder.go
@@ -145,6 +145,9 @@
 
 // enterAndRun admits a request and runs its attempts.
 func (f *Forwarder) enterAndRun(ctx context.Context, i *figpier.Inbound) (*figpier.Answer, error) {
+	if !web.Forwardable(i.Target()) {
+		return nil, f.refused(nil, figpier.Refuse(figpier.RefusalMalformed))
+	}
 	var keys []string
 	if i.Key() != "" {
 		keys = []string{i.Key()}
