Follow the services of a configuration that came before the forwarder's start

What callers saw: a node that has just started is ready and answers 503 no-upstream to everything until the next configuration.

Cause: the forwarder follows the members of a configuration's services when it is told of one, and was told of none that came before it had subscribed.

Evidence: TestConfigurationBeforeTheStartIsFollowed failed before (no service is followed).

Why the mend works: once subscribed, the forwarder also looks at the configuration that is in force; following a service twice is one.

--- a/internal/traffic/forward/forwarder.go
+++ b/internal/traffic/forward/forwarder.go
@@ -106,6 +106,8 @@
 	}
 	f.bytes.Start(d, "request_link_bytes", "")
 	f.view.Subscribe(f.followServices)
+	// The first configuration may have come before the subscription.
+	f.followServices(f.view.Configuration())
 	return nil
 }
 
