Count the calls of repeated runs as repeats

Cause: a node did not know that a call of its backend server belongs to a run that is itself a repeat, and counted it as a first attempt, from which the next level earns retries. The levels' retries add up.

Why the mend works: a retry tells the next node that its run is a repeat; each node knows the share of repeats among the newest runs beside it, and a request without a customer takes that share out of the budget and passes it on. What a level inherits leaves so much less for its own retries, so that the share holds at each level. It travels in a header of its own, which nodes of earlier builds ignore; the envelope is packed without names and can't grow.

--- a/call.go
+++ b/call.go
@@ -36,6 +36,8 @@
 	Depth int
 	// CallerService is the service that sent the request, empty for requests from outside.
 	CallerService UpstreamService
+	// RepeatShare is the probability, from 0 to 1, that a run of the call repeats one, at this hop or further up the call tree.
+	RepeatShare float64
 }
 
 // Call describes one hop of an end-to-end request. It is immutable.
@@ -85,5 +87,15 @@
 // Depth returns the number of hops before this one.
 func (c *Call) Depth() int { return c.config.Depth }
 
+// RepeatShare returns the probability, from 0 to 1, that a run of the call repeats one, at this hop or further up the call tree.
+func (c *Call) RepeatShare() float64 { return c.config.RepeatShare }
+
+// WithRepeatShare returns a copy of the call with another probability that its run repeats one.
+func (c *Call) WithRepeatShare(share float64) *Call {
+	config := c.config
+	config.RepeatShare = share
+	return NewCall(config)
+}
+
 // CallerService returns the service that sent the request, empty for requests from outside.
 func (c *Call) CallerService() UpstreamService { return c.config.CallerService }
--- a/exchange.go
+++ b/exchange.go
@@ -124,6 +124,9 @@
 	Service
 	// Deliver sends a request for a call and returns the answer of the backend server, or a *Refusal.
 	Deliver(ctx context.Context, c *Call, i *Inbound) (*Answer, error)
+	// RepeatShare returns the share of the newest runs at the backend server that repeat one, from 0 to 1. It is the probability that
+	// a call that the backend server makes now belongs to such a run.
+	RepeatShare() float64
 }
 
 // Verdict classifies an answer of a backend server.
--- a/headers.go
+++ b/headers.go
@@ -14,6 +14,8 @@
 	HeaderEnvelope = "Figpier-Envelope"
 	// HeaderRefusal carries the reason of a refusal.
 	HeaderRefusal = "Figpier-Refusal"
+	// HeaderRepeatShare carries Call.RepeatShare between nodes, absent for 0.
+	HeaderRepeatShare = "Figpier-Repeat-Share"
 	// HeaderNotRun marks a refusal of a request that no backend server ran.
 	HeaderNotRun = "Figpier-Not-Run"
 	// HeaderRequestID carries the identifier of the end-to-end request.
--- a/internal/policy/retrybudget/budget.go
+++ b/internal/policy/retrybudget/budget.go
@@ -27,8 +27,9 @@
 
 // slotCounts is a ring buffer of the attempts at one service for each slot of the window.
 type slotCounts struct {
-	firsts  [slotsPerWindow]int
-	retries [slotsPerWindow]int
+	firsts [slotsPerWindow]int
+	// repeats are the retries, and the parts of first attempts that repeat one because their callers' runs do.
+	repeats [slotsPerWindow]float64
 	// currentSlot is the number of the newest slot since the Unix epoch; its index is the remainder by slotsPerWindow.
 	currentSlot int64
 }
@@ -38,24 +39,26 @@
 	return &Table{config: c, services: map[figpier.UpstreamService]*slotCounts{}}
 }
 
-// First records a first attempt.
-func (t *Table) First(now time.Time, s figpier.UpstreamService) {
+// First records a first attempt, with the probability that it belongs to a repeated run of its caller. Such attempts use up the budget,
+// because the retries of the levels of a call chain would else add up at its end.
+func (t *Table) First(now time.Time, s figpier.UpstreamService, repeatShare float64) {
 	c := t.countsAt(now, s)
 	c.firsts[c.currentSlot%slotsPerWindow]++
+	c.repeats[c.currentSlot%slotsPerWindow] += repeatShare
 }
 
 // Retry reports whether the budget of the service allows a retry, and counts it if so.
 func (t *Table) Retry(now time.Time, s figpier.UpstreamService) bool {
 	c := t.countsAt(now, s)
-	firsts, retries := 0, 0
+	firsts, repeats := 0, 0.0
 	for i := range slotsPerWindow {
 		firsts += c.firsts[i]
-		retries += c.retries[i]
+		repeats += c.repeats[i]
 	}
-	if float64(retries+1) > t.config.Share*float64(firsts)+t.config.MinRetries {
+	if repeats+1 > t.config.Share*float64(firsts)+t.config.MinRetries {
 		return false
 	}
-	c.retries[c.currentSlot%slotsPerWindow]++
+	c.repeats[c.currentSlot%slotsPerWindow]++
 	return true
 }
 
@@ -72,7 +75,7 @@
 	}
 	for c.currentSlot < slot {
 		c.currentSlot++
-		c.firsts[c.currentSlot%slotsPerWindow], c.retries[c.currentSlot%slotsPerWindow] = 0, 0
+		c.firsts[c.currentSlot%slotsPerWindow], c.repeats[c.currentSlot%slotsPerWindow] = 0, 0
 	}
 	return c
 }
--- a/internal/policy/retrybudget/budget_test.go
+++ b/internal/policy/retrybudget/budget_test.go
@@ -17,7 +17,7 @@
 	for range 20000 {
 		now = now.Add(time.Duration(random.Int64N(int64(10 * time.Millisecond))))
 		if random.IntN(3) > 0 {
-			table.First(now, "s")
+			table.First(now, "s", 0)
 			firsts = append(firsts, now)
 		}
 		if table.Retry(now, "s") {
--- a/internal/traffic/delivery/deliver.go
+++ b/internal/traffic/delivery/deliver.go
@@ -21,10 +21,26 @@
 		ticket.Release(figpier.NewOutcome(figpier.OutcomeNotRun, 0))
 		return nil, err
 	}
+	s.countRun(c)
 	b := &backendCall{server: s, call: c, ticket: ticket, began: s.clock.Now()}
 	return b.send(ctx, address, i)
 }
 
+// RepeatShare implements figpier.Deliverer.
+func (s *Server) RepeatShare() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs.Share()
+}
+
+// countRun counts a call that is sent to the backend server.
+func (s *Server) countRun(c *figpier.Call) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs.Add(now, c.RepeatShare())
+}
+
 // admit waits for a slot of the backend server, no longer than until the call's deadline.
 func (s *Server) admit(ctx context.Context, c *figpier.Call) (figpier.Ticket, error) {
 	if c.Service() != s.config.Service {
--- a/internal/traffic/delivery/server.go
+++ b/internal/traffic/delivery/server.go
@@ -4,10 +4,12 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/figpier/figpier"
 	"github.com/figpier/figpier/internal/link/web"
+	"github.com/figpier/figpier/internal/policy/retrybudget"
 	"github.com/figpier/figpier/internal/wire/codec"
 )
 
@@ -23,6 +25,9 @@
 	unacknowledgedTimeout = time.Second
 )
 
+// runMemory is how long a run counts for the share of repeats: some times the length of a run, whose calls come while it lasts.
+const runMemory = 2 * time.Second
+
 // Config holds the settings of a Server.
 type Config struct {
 	// Address is the IP address and port to listen on for the calls of other nodes.
@@ -44,12 +49,16 @@
 	log       figpier.RequestLog
 	transport *http.Transport
 	listener  *web.Server
+
+	mu   sync.Mutex // guards runs
+	runs *retrybudget.Runs
 }
 
 // New returns a server, to be started by the kernel.
 func New(c Config) *Server {
 	return &Server{
 		config: c,
+		runs:   retrybudget.NewRuns(runMemory),
 		transport: web.NewTransport(web.TransportConfig{
 			DialTimeout:           dialTimeout,
 			UnacknowledgedTimeout: unacknowledgedTimeout,
@@ -101,6 +110,7 @@
 		s.refuse(w, nil, figpier.NewRefusal(figpier.RefusalConfig{Reason: figpier.RefusalMalformed, Detail: err.Error()}))
 		return
 	}
+	c.RepeatShare = codec.ParseShare(r.Header.Get(figpier.HeaderRepeatShare))
 	call := figpier.NewCall(c)
 	defer web.SetRequestDeadline(w, c.Deadline.Sub(now))()
 	ctx, release := web.WithEnding(r.Context(), s.ready.Ending())
--- a/internal/traffic/forward/attempts.go
+++ b/internal/traffic/forward/attempts.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f.countFirstAttempt(c)
+	c = f.countFirstAttempt(c)
 	p := &progress{}
 	var last *figpier.Refusal
 	for {
@@ -57,7 +57,11 @@
 		if err != nil {
 			return nil, f.finalRefusal(c, last, web.AsRefusal(err), p)
 		}
-		a := f.startAttempt(ctx, i, c, m, body)
+		next := c
+		if p.delivered > 0 {
+			next = c.WithRepeatShare(1)
+		}
+		a := f.startAttempt(ctx, i, next, m, body)
 		p.add(m, a)
 		if a.answer != nil {
 			return a.answer, nil
@@ -81,12 +85,17 @@
 	p.ran = p.ran || !a.refusal.NotRun()
 }
 
-// countFirstAttempt counts a first attempt, which the share of retries is relative to.
-func (f *Forwarder) countFirstAttempt(c *figpier.Call) {
+// countFirstAttempt counts a first attempt, which the share of retries is relative to, and returns the call with its repeat share. A
+// request without a customer may be a call of the backend server beside this node, made by a run that is itself a repeat.
+func (f *Forwarder) countFirstAttempt(c *figpier.Call) *figpier.Call {
+	if c.Customer() == "" {
+		c = c.WithRepeatShare(f.deliverer.RepeatShare())
+	}
 	now := f.clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.retryBudget.First(now, c.Service())
+	f.retryBudget.First(now, c.Service(), c.RepeatShare())
+	return c
 }
 
 // mayRetry decides whether to make another attempt, and counts and logs the decision.
@@ -216,6 +225,9 @@
 	}
 	out, sent := web.NewForwardRequest(ctx, m.PeerAddress(), i, i.Body())
 	out.Header.Set(figpier.HeaderEnvelope, envelope)
+	if c.RepeatShare() > 0 {
+		out.Header.Set(figpier.HeaderRepeatShare, codec.FormatShare(c.RepeatShare()))
+	}
 	response, err := f.transport.RoundTrip(out)
 	if err != nil {
 		return f.failedAttempt(ctx, sent, err)
--- a/internal/traffic/forward/forwarder_test.go
+++ b/internal/traffic/forward/forwarder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -72,3 +73,32 @@
 	}}))
 	assert.DeepEqual(t, view.followed, []figpier.UpstreamService{"litters"})
 }
+
+// repeatingDeliverer is a deliverer beside a backend server half of whose newest runs are repeats.
+type repeatingDeliverer struct{ figpier.Deliverer }
+
+// RepeatShare implements figpier.Deliverer.
+func (repeatingDeliverer) RepeatShare() float64 { return 0.5 }
+
+// TestCallsOfRepeatedRunsUseUpTheRetryBudget guards against retries that add up along a call chain: the calls of a repeated run must count
+// as repeats at the service that they call.
+func TestCallsOfRepeatedRunsUseUpTheRetryBudget(t *testing.T) {
+	retries := func(customer figpier.CustomerID) (n int, share float64) {
+		f := New(Config{Instance: "a", RetryShare: 0.5, RetryWindow: 10 * time.Second})
+		f.clock, f.deliverer = system.Clock{}, repeatingDeliverer{}
+		c := figpier.NewCall(figpier.CallConfig{Service: "litters", Customer: customer})
+		for range 100 {
+			share = f.countFirstAttempt(c).RepeatShare()
+		}
+		for f.retryBudget.Retry(f.clock.Now(), "litters") {
+			n++
+		}
+		return n, share
+	}
+	n, share := retries("valv")
+	assert.Equal(t, share, 0.0)
+	assert.Equal(t, n, 50)
+	n, share = retries("")
+	assert.Equal(t, share, 0.5)
+	assert.Equal(t, n, 0)
+}
