Log what a refusal was decided by, and when control instances tell a configuration

A 404 for a route that had been added could not be told apart from one by a late poll, by a late control instance, or by a table that was right: the line named no request and no table. A refusal now has the request's id also where no route was found, the revision and number of the routing table, and how long ago the view was known to be current. A control instance logs each configuration from which it answers polls, and a node has a gauge for the age of its view. No decision changes.

--- a/internal/control/subscription/server.go
+++ b/internal/control/subscription/server.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/figpier/figpier"
 	"github.com/figpier/figpier/internal/wire/codec"
 	"github.com/figpier/figpier/internal/wire/message"
@@ -24,8 +27,15 @@
 // members of a fleet that starts, cost a few messages a node instead of one for each change.
 const coalesceTime = 100 * time.Millisecond
 
+// Config holds the settings of a Server.
+type Config struct {
+	// Log receives a line for each configuration that polls are answered with from then on, nil for no lines.
+	Log *logrus.Entry
+}
+
 // Server is the service that answers nodes' polls.
 type Server struct {
+	config   Config
 	catalog  figpier.Catalog
 	log      figpier.ReplicatedLog
 	registry figpier.Registry
@@ -35,7 +45,14 @@
 }
 
 // New returns a server that has not started.
-func New() *Server { return &Server{history: newHistory()} }
+func New(c Config) *Server {
+	if c.Log == nil {
+		silent := logrus.New()
+		silent.SetOutput(io.Discard)
+		c.Log = logrus.NewEntry(silent)
+	}
+	return &Server{config: c, history: newHistory()}
+}
 
 // Name implements figpier.Service.
 func (s *Server) Name() figpier.ServiceName { return figpier.SubscriptionService }
@@ -82,7 +99,21 @@
 	}
 	if current, _ := s.history.latest(); current == nil || current.Revision() < a.configuration.Revision() {
 		s.history.install(a.configuration)
+		s.logConfiguration(a.configuration)
+	}
+}
+
+// logConfiguration logs a configuration that polls are answered with from now on.
+func (s *Server) logConfiguration(c *figpier.Configuration) {
+	line := s.config.Log.WithFields(logrus.Fields{
+		"revision":        int(c.Revision()),
+		"quorumAgeMillis": s.quorumAgeMillis(),
+		"leader":          string(s.log.Leader()),
+	})
+	if c.Table() != nil {
+		line = line.WithField("table", c.Table().Number())
 	}
+	line.Info("nodes are told a configuration")
 }
 
 // handlePoll handles figpier.MethodPoll. The poll of a node that runs beside a backend server also renews its lease.
--- a/internal/control/subscription/server_test.go
+++ b/internal/control/subscription/server_test.go
@@ -54,7 +54,7 @@
 		{name: "settled since the list was sent, a former member", settled: true, partial: true, registry: "here", held: []*figpier.Member{a, b, newMember("d/1", "vets", 1)}, full: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := New()
+			s := New(Config{})
 			s.clock = system.Clock{}
 			s.registry = &fakeRegistry{id: "here", settled: c.settled, members: []*figpier.Member{a, b, other}}
 			digest := codec.FormatMembersDigest(c.held)
--- a/internal/host/logs/log.go
+++ b/internal/host/logs/log.go
@@ -25,6 +25,11 @@
 	FieldMember    = "member"
 	FieldStatus    = "status"
 	FieldMillis    = "millis"
+	// FieldTable is the number of the node's routing table, FieldRevision the revision of its configuration, and FieldViewAge how long
+	// ago that was last known to be the accepted one, in milliseconds.
+	FieldTable    = "table"
+	FieldRevision = "revision"
+	FieldViewAge  = "viewAgeMillis"
 )
 
 // Config configures New.
--- a/internal/host/logs/request.go
+++ b/internal/host/logs/request.go
@@ -23,6 +23,8 @@
 type Requests struct {
 	entry *logrus.Entry
 	clock figpier.Clock
+	// view is nil in a process without one.
+	view figpier.ConfigurationView
 
 	mu      sync.Mutex
 	windows map[string]*lineWindow // by the event that allowLine is given, guarded by mu
@@ -46,6 +48,9 @@
 // Start implements figpier.Service.
 func (q *Requests) Start(_ context.Context, d figpier.Directory) error {
 	q.clock = d.Clock()
+	if v, err := figpier.FindView(d); err == nil {
+		q.view = v
+	}
 	return nil
 }
 
@@ -63,9 +68,25 @@
 	}
 	f := callFields(c, string(r.Reason()), dropped)
 	f[FieldNotRun] = r.NotRun()
+	q.addViewFields(f)
 	q.entry.WithFields(f).Info("refused: " + r.Error())
 }
 
+// addViewFields adds the fields about the configuration that the node decides by.
+func (q *Requests) addViewFields(f logrus.Fields) {
+	if q.view == nil {
+		return
+	}
+	c := q.view.Configuration()
+	f[FieldRevision] = int(c.Revision())
+	if t := c.Table(); t != nil {
+		f[FieldTable] = t.Number()
+	}
+	if confirmed := q.view.Confirmed(); !confirmed.IsZero() {
+		f[FieldViewAge] = q.clock.Now().Sub(confirmed).Milliseconds()
+	}
+}
+
 // Retried implements figpier.RequestLog.
 func (q *Requests) Retried(c *figpier.Call, r figpier.RetryReason) {
 	if r == figpier.NoRetryDone || !q.entry.Logger.IsLevelEnabled(logrus.InfoLevel) {
--- a/internal/host/process/control.go
+++ b/internal/host/process/control.go
@@ -70,7 +70,7 @@
 			RetryPause:     defaultRetryPause,
 			SilenceTimeout: defaultMemberLease,
 		}),
-		subscription.New(),
+		subscription.New(subscription.Config{Log: l}),
 		assigner,
 		operator.New(operator.Config{
 			Instance: figpier.InstanceID(s.Instance()),
--- a/internal/host/process/mesh.go
+++ b/internal/host/process/mesh.go
@@ -210,7 +210,7 @@
 			RetryPause:     defaultRetryPause,
 			SilenceTimeout: meshMemberTimeout,
 		}),
-		subscription.New(),
+		subscription.New(subscription.Config{Log: l}),
 		pool.New(pool.Config{
 			Address:         s.Messages(),
 			Window:          c.Quota.Window,
--- a/internal/traffic/configview/view.go
+++ b/internal/traffic/configview/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"io"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -105,10 +106,26 @@
 			return err
 		}
 	}
+	v.registerGauge(d)
 	go v.pollLoop(ctx)
 	return nil
 }
 
+// registerGauge registers the age of the view if the process has a counter service.
+func (v *View) registerGauge(d figpier.Directory) {
+	c, err := figpier.FindCounters(d)
+	if err != nil {
+		return
+	}
+	c.Gauge("figpier_view_age_seconds", func() float64 {
+		confirmed := v.Confirmed()
+		if confirmed.IsZero() {
+			return math.Inf(1)
+		}
+		return v.clock.Now().Sub(confirmed).Seconds()
+	})
+}
+
 // Stop implements figpier.Service.
 func (v *View) Stop(context.Context) error { return nil }
 
@@ -117,10 +134,13 @@
 
 // Fresh implements figpier.ConfigurationView.
 func (v *View) Fresh(now time.Time) bool {
-	s := v.published.Load()
-	return !s.confirmed.IsZero() && now.Sub(s.confirmed) < v.config.Freshness
+	confirmed := v.Confirmed()
+	return !confirmed.IsZero() && now.Sub(confirmed) < v.config.Freshness
 }
 
+// Confirmed implements figpier.ConfigurationView.
+func (v *View) Confirmed() time.Time { return v.published.Load().confirmed }
+
 // Members implements figpier.ConfigurationView.
 func (v *View) Members(s figpier.UpstreamService) []*figpier.Member {
 	return v.published.Load().members[s]
--- a/internal/traffic/tablegate/gate.go
+++ b/internal/traffic/tablegate/gate.go
@@ -78,11 +78,11 @@
 func (g *Gate) Enter(ctx context.Context, a *figpier.Arrival) (*figpier.Call, error) {
 	t, err := g.awaitTable(ctx, a)
 	if err != nil {
-		return nil, err
+		return figpier.NewCall(figpier.CallConfig{RequestID: a.ID()}), err
 	}
 	route, ok := t.Route(a.Host(), a.Path())
 	if !ok {
-		return nil, figpier.Refuse(figpier.RefusalNoRoute)
+		return figpier.NewCall(figpier.CallConfig{RequestID: a.ID()}), figpier.Refuse(figpier.RefusalNoRoute)
 	}
 	c := figpier.CallConfig{
 		RequestID:     a.ID(),
--- a/test/path/fakes_test.go
+++ b/test/path/fakes_test.go
@@ -79,6 +79,8 @@
 
 func (v *fakeView) Fresh(time.Time) bool { return !v.stale.Load() }
 
+func (v *fakeView) Confirmed() time.Time { return time.Time{} }
+
 func (v *fakeView) Announce(*figpier.Member) {}
 
 func (v *fakeView) FollowMembers(context.Context, figpier.UpstreamService) error { return nil }
--- a/traffic.go
+++ b/traffic.go
@@ -13,6 +13,8 @@
 	Configuration() *Configuration
 	// Fresh reports whether the view is recent enough to accept customer keys.
 	Fresh(now time.Time) bool
+	// Confirmed returns the latest time at which the installed configuration is known to have been the accepted one, zero if it never was.
+	Confirmed() time.Time
 	// FollowMembers subscribes to the members of a service and returns once they are known.
 	FollowMembers(ctx context.Context, s UpstreamService) error
 	// Members returns the known members of a service that FollowMembers has subscribed to.
