--- a/internal/host/process/mesh.go
+++ b/internal/host/process/mesh.go
@@ -98,18 +98,7 @@
 		metrics.New(metrics.Config{Address: s.Metrics()}),
 		seeds.New(seeds.Config{Path: s.Path(), Seeds: m.Seeds, Read: seedAddresses, Log: l}),
 		jsonrpc.New(jsonrpc.Config{AnswerTimeout: defaultAnswerTimeout}),
-		configview.New(configview.Config{
-			DataCentre:    figpier.DataCentre(s.DataCentre()),
-			Region:        figpier.Region(s.Region()),
-			Seed:          xxh3.HashString(string(instance)),
-			Freshness:     scaleDuration(m.Withdrawal, freshnessFraction),
-			StaleMargin:   defaultStaleMargin,
-			MaxQuorumAge:  meshMaxQuorumAge,
-			PollWait:      meshPollWait,
-			AnswerTimeout: meshAnswerTimeout,
-			RetryPause:    defaultRetryPause,
-			Log:           l,
-		}),
+		configview.New(meshViewConfig(s, instance, l)),
 		quota.New(quota.Config{Window: m.Quota.Window, OverageFraction: m.Quota.Share, SlackRequests: m.Quota.Slack, Log: l}),
 		ranks.New(),
 		cutoffs.New(),
@@ -119,7 +108,7 @@
 			Region:     figpier.Region(s.Region()),
 			Seed:       xxh3.HashString(string(instance)),
 		}),
-		tablegate.New(tablegate.Config{Service: service}),
+		tablegate.New(meshGateConfig(s)),
 		upstream.New(upstream.Config{
 			Address:             m.Backend,
 			AnnouncementTimeout: backendTimeout,
@@ -146,6 +135,27 @@
 	)
 }
 
+// meshViewConfig returns the configuration of the view of a mesh node.
+func meshViewConfig(s *settings.Settings, instance figpier.InstanceID, l *logrus.Entry) configview.Config {
+	return configview.Config{
+		DataCentre:    figpier.DataCentre(s.DataCentre()),
+		Region:        figpier.Region(s.Region()),
+		Seed:          xxh3.HashString(string(instance)),
+		Freshness:     scaleDuration(s.Mesh().Withdrawal, freshnessFraction),
+		StaleMargin:   defaultStaleMargin,
+		MaxQuorumAge:  meshMaxQuorumAge,
+		PollWait:      meshPollWait,
+		AnswerTimeout: meshAnswerTimeout,
+		RetryPause:    defaultRetryPause,
+		Log:           l,
+	}
+}
+
+// meshGateConfig returns the configuration of the gate of a mesh node.
+func meshGateConfig(s *settings.Settings) tablegate.Config {
+	return tablegate.Config{Service: figpier.UpstreamService(s.Mesh().Service)}
+}
+
 // seedAddresses returns the seeds of a mesh node or of a control instance, none for settings of another kind of process.
 func seedAddresses(s *settings.Settings) []string {
 	switch {
