Let replaced polls share the time in which a control instance has to answer

What callers would see: a node that announced itself, or followed a service that was not loaded, more often than a poll times out, kept a silent control instance for good: old configuration, old members, and 503 for keyed requests once the view was stale. Cause: a poll that another one replaced counted as answered, and the next had the whole time-out anew. Evidence: TestNodeThatAnnouncesItselfOftenLeavesASilentControlInstance failed before at intervals of 50, 390 and 900 ms, each after 2 s. Why this works: the time by which the instance has to answer is set by the first poll after an answer, and kept by those that replace it; they wait the rest. A poll that asks for an answer at once is not replaced, so that frequent requests don't starve it. A service that is followed already replaces no poll, as one that asks for it is on its way.

--- a/internal/traffic/configview/poll.go
+++ b/internal/traffic/configview/poll.go
@@ -76,20 +76,24 @@
 	}
 }
 
-// pollInstance polls a control instance until it fails, or until a nearer one is known, which it reports.
+// pollInstance polls a control instance until it fails, or until a nearer one is known, which it reports. Polls that repoll replaces
+// share the time by which the instance has to answer.
 func (v *View) pollInstance(ctx context.Context, address string) (nearer bool) {
 	// The first poll asks for an immediate answer, so that an unreachable instance is detected early.
-	wait := time.Duration(0)
+	due := v.clock.Now().Add(v.config.AnswerTimeout)
 	for {
-		retryInterval, ok := v.poll(ctx, address, wait)
+		answered, retryInterval, ok := v.poll(ctx, address, due)
 		if !ok {
 			v.retryAt[address] = v.clock.Now().Add(retryInterval)
 			return false
 		}
+		if !answered {
+			continue
+		}
 		if v.knowsNearer(address) {
 			return true
 		}
-		wait = v.config.PollWait
+		due = v.clock.Now().Add(v.config.PollWait + v.config.AnswerTimeout)
 	}
 }
 
@@ -163,25 +167,29 @@
 	}
 }
 
-// poll sends one poll and waits until its answer is applied. It returns false, and how long to leave the control instance, if
-// that one did not answer, sent a configuration that can't be applied, or has not known for MaxQuorumAge that it is current. A poll
-// that repoll ended counts as answered.
-func (v *View) poll(ctx context.Context, address string, wait time.Duration) (retryInterval time.Duration, ok bool) {
-	pollCtx, cancel := context.WithTimeout(ctx, wait+v.config.AnswerTimeout)
+// poll sends a poll that has to be answered by the due time, and waits until its answer is applied. It reports false for answered if
+// repoll replaced the poll before that. It returns false for ok, and how long to leave the control instance, if that one did not answer,
+// sent a configuration that can't be applied, or has not known for MaxQuorumAge that it is current.
+func (v *View) poll(ctx context.Context, address string, due time.Time) (answered bool, retryInterval time.Duration, ok bool) {
+	sent := v.clock.Now()
+	wait := min(v.config.PollWait, max(0, due.Sub(sent)-v.config.AnswerTimeout))
+	pollCtx, cancel := context.WithTimeout(ctx, due.Sub(sent))
 	defer cancel()
-	done := make(chan struct{})
-	defer close(done)
-	var repolled atomic.Bool
-	go func() {
-		select {
-		case <-v.repollRequested:
-			repolled.Store(true)
-			cancel()
-		case <-done:
-		}
-	}()
+	var replaced atomic.Bool
+	if wait > 0 {
+		// A poll that is answered at once is not replaced: frequent requests would leave no time for its answer.
+		done := make(chan struct{})
+		defer close(done)
+		go func() {
+			select {
+			case <-v.repollRequested:
+				replaced.Store(true)
+				cancel()
+			case <-done:
+			}
+		}()
+	}
 
-	sent := v.clock.Now()
 	known := v.published.Load()
 	p := v.newPoll(known, wait)
 	p.ElsewhereMillis = int(v.sinceOtherPoll(sent, address).Milliseconds())
@@ -193,36 +201,36 @@
 		v.lastPoll[address] = sent
 	}
 	if err != nil {
-		if repolled.Load() && ctx.Err() == nil {
-			return 0, true
+		if replaced.Load() && ctx.Err() == nil {
+			return false, 0, true
 		}
 		v.config.Log.WithError(err).WithField("control", address).Warn("a control instance does not answer")
-		return retryIntervalFor(err), false
+		return false, retryIntervalFor(err), false
 	}
 	line := v.config.Log.WithFields(logrus.Fields{"control": address, "quorumAgeMillis": a.QuorumAgeMillis, "revision": a.Revision})
 	if uncounted {
 		line.Warn("a control instance is behind")
 		v.waitRetryPause(ctx)
-		return behindRetryInterval, false
+		return true, behindRetryInterval, false
 	}
 	e := &pollAnswered{sent: sent, control: address, followed: known.followed, answer: a, applied: make(chan struct{})}
 	if err := v.control.Post(e); err != nil {
-		return 0, false
+		return false, 0, false
 	}
 	select {
 	case <-ctx.Done():
-		return 0, false
+		return false, 0, false
 	case <-e.applied:
 	}
 	if e.err != nil {
 		line.WithError(e.err).Warn("a configuration can't be applied: the whole one is requested")
-		return behindRetryInterval, false
+		return true, behindRetryInterval, false
 	}
 	if a.QuorumAgeMillis >= int(v.config.MaxQuorumAge.Milliseconds()) {
 		line.Warn("a control instance is behind")
-		return behindRetryInterval, false
+		return true, behindRetryInterval, false
 	}
-	return 0, true
+	return true, 0, true
 }
 
 // retryIntervalFor returns how long to leave a control instance after a failed poll.
--- a/internal/traffic/configview/state.go
+++ b/internal/traffic/configview/state.go
@@ -67,14 +67,16 @@
 	}
 }
 
-// follow adds a service and clears registry, so that the next poll returns all members.
-func (s *state) follow(e *followRequested) {
+// follow adds a service and clears registry, so that the next poll returns all members. It reports false if the service was followed
+// before, so that a poll asks for it already.
+func (s *state) follow(e *followRequested) (added bool) {
 	s.waiters[e.service] = append(s.waiters[e.service], e.loaded)
 	if s.followed.Has(e.service) {
-		return
+		return false
 	}
 	s.followed = s.followed.With(e.service)
 	s.registry = ""
+	return true
 }
 
 // applyAnswer applies an answer and reports whether it brought a newer configuration. An answer with a lower revision
--- a/internal/traffic/configview/view.go
+++ b/internal/traffic/configview/view.go
@@ -282,8 +282,9 @@
 		defer close(e.applied)
 		v.state.controls = e.controls
 	case *followRequested:
-		v.state.follow(e)
-		defer v.repoll()
+		if v.state.follow(e) {
+			defer v.repoll()
+		}
 	}
 	close(v.published.Swap(v.state.newSnapshot()).changed)
 	v.state.notifyWaiters()
