Ask control instances one shortly after the other, not one time-out after the other

Cause: the way from the acceptance to a node was a sum of time-outs that nothing bounded. An instance whose disk stalls keeps polls for up to 1.6 s, as it counts as current for 1.0 s and holds a poll that came before for 0.6 s more. Each instance after it that is silent cost 0.4 s, each that is behind a pause of 0.2 s. With two instances lost, which the fleet has to bear, that is 2.0 s and the way to another region. Why this works: a node that has to leave its instance, or that tries a nearer one again, now searches: it asks the next instance 100 ms after the one before, or at once after a failure, and stays with the first answer that is current. So n silent instances cost n x 100 ms in all. The questions carry no entry of the node, so that it counts for limits at one instance only. The first answer already brings the configuration. A node without any configuration gives each instance its whole time-out, since every answer would bring it everything.

--- a/internal/traffic/configview/poll.go
+++ b/internal/traffic/configview/poll.go
@@ -30,28 +30,21 @@
 // instance counts a node that has stopped polling it.
 const noOtherPollAge = time.Hour
 
-// pollLoop polls control instances in the order of preference, each until it fails or a nearer one is known.
+// pollLoop polls one control instance until it fails or a nearer one is known, and searches for the next one then.
 func (v *View) pollLoop(ctx context.Context) {
 	if len(v.config.Controls) == 0 {
 		v.discover(ctx)
 	}
 	for ctx.Err() == nil {
-		if !v.pollAny(ctx) {
+		address, ok := v.search(ctx)
+		if !ok {
 			v.waitRetryPause(ctx)
+			continue
 		}
+		v.pollInstance(ctx, address)
 	}
 }
 
-// pollAny polls the control instances one after the other, and returns true once one was left for a nearer one.
-func (v *View) pollAny(ctx context.Context) (nearer bool) {
-	for _, address := range v.pollOrder() {
-		if v.pollInstance(ctx, address) {
-			return true
-		}
-	}
-	return false
-}
-
 // discover asks the seeds for the places of the control instances, so that the node fetches the configuration and the members
 // from a near one. It returns once one of them has answered, or all have failed.
 func (v *View) discover(ctx context.Context) {
@@ -76,24 +69,29 @@
 	}
 }
 
-// pollInstance polls a control instance until it fails, or until a nearer one is known, which it reports. Polls that repoll replaces
-// share the time by which the instance has to answer.
-func (v *View) pollInstance(ctx context.Context, address string) (nearer bool) {
-	// The first poll asks for an immediate answer, so that an unreachable instance is detected early.
-	due := v.clock.Now().Add(v.config.AnswerTimeout)
-	for {
-		answered, retryInterval, ok := v.poll(ctx, address, due)
-		if !ok {
-			v.retryAt[address] = v.clock.Now().Add(retryInterval)
-			return false
+// pollInstance polls a control instance until it fails, or until a nearer one is known. Polls that repoll replaces share the time by
+// which the instance has to answer.
+func (v *View) pollInstance(ctx context.Context, address string) {
+	var due time.Time
+	for ctx.Err() == nil {
+		if due.IsZero() {
+			due = v.clock.Now().Add(v.config.PollWait + v.config.AnswerTimeout)
+		}
+		answered, err := v.poll(ctx, address, due)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			v.leave(address, err)
+			return
 		}
 		if !answered {
 			continue
 		}
 		if v.knowsNearer(address) {
-			return true
+			return
 		}
-		due = v.clock.Now().Add(v.config.PollWait + v.config.AnswerTimeout)
+		due = time.Time{}
 	}
 }
 
@@ -158,8 +156,7 @@
 }
 
 func (v *View) waitRetryPause(ctx context.Context) {
-	elapsed := make(chan struct{})
-	cancel := v.clock.AfterFunc(v.config.RetryPause, func() { close(elapsed) })
+	elapsed, cancel := v.after(v.config.RetryPause)
 	defer cancel()
 	select {
 	case <-ctx.Done():
@@ -167,10 +164,9 @@
 	}
 }
 
-// poll sends a poll that has to be answered by the due time, and waits until its answer is applied. It reports false for answered if
-// repoll replaced the poll before that. It returns false for ok, and how long to leave the control instance, if that one did not answer,
-// sent a configuration that can't be applied, or has not known for MaxQuorumAge that it is current.
-func (v *View) poll(ctx context.Context, address string, due time.Time) (answered bool, retryInterval time.Duration, ok bool) {
+// poll sends a poll that has to be answered by the due time, and waits until its answer is applied. It reports false if repoll
+// replaced the poll before it was answered, and returns an error if the control instance has to be left.
+func (v *View) poll(ctx context.Context, address string, due time.Time) (answered bool, err error) {
 	sent := v.clock.Now()
 	wait := min(v.config.PollWait, max(0, due.Sub(sent)-v.config.AnswerTimeout))
 	pollCtx, cancel := context.WithTimeout(ctx, due.Sub(sent))
@@ -193,52 +189,67 @@
 	known := v.published.Load()
 	p := v.newPoll(known, wait)
 	p.ElsewhereMillis = int(v.sinceOtherPoll(sent, address).Milliseconds())
+	p.Member = codec.FromMember(v.ownMember.Load())
 	var a message.PollAnswer
-	err := v.messenger.Request(pollCtx, address, figpier.MethodPoll, p, &a)
+	err = v.messenger.Request(pollCtx, address, figpier.MethodPoll, p, &a)
 	unreached := (*figpier.UnreachedError)(nil)
-	uncounted := err == nil && a.Uncounted != nil && *a.Uncounted
-	if !errors.As(err, &unreached) && !uncounted {
+	if !errors.As(err, &unreached) && !uncounted(a) {
 		v.lastPoll[address] = sent
 	}
+	if err != nil && replaced.Load() && ctx.Err() == nil {
+		return false, nil
+	}
 	if err != nil {
-		if replaced.Load() && ctx.Err() == nil {
-			return false, 0, true
-		}
-		v.config.Log.WithError(err).WithField("control", address).Warn("a control instance does not answer")
-		return false, retryIntervalFor(err), false
+		return false, err
 	}
-	line := v.config.Log.WithFields(logrus.Fields{"control": address, "quorumAgeMillis": a.QuorumAgeMillis, "revision": a.Revision})
-	if uncounted {
-		line.Warn("a control instance is behind")
-		v.waitRetryPause(ctx)
-		return true, behindRetryInterval, false
+	return true, v.apply(ctx, &pollAnswered{sent: sent, control: address, followed: known.followed, answer: a, applied: make(chan struct{})})
+}
+
+// uncounted reports whether a control instance answered that it is behind, so that the poll does not count for the division of limits.
+func uncounted(a message.PollAnswer) bool { return a.Uncounted != nil && *a.Uncounted }
+
+// apply has the control thread apply an answer. It returns a behindError if the answer may be out of date, and an unappliedError if it
+// can't be applied.
+func (v *View) apply(ctx context.Context, e *pollAnswered) error {
+	if uncounted(e.answer) {
+		return newBehindError(e.answer)
 	}
-	e := &pollAnswered{sent: sent, control: address, followed: known.followed, answer: a, applied: make(chan struct{})}
 	if err := v.control.Post(e); err != nil {
-		return false, 0, false
+		return err
 	}
 	select {
 	case <-ctx.Done():
-		return false, 0, false
+		return ctx.Err()
 	case <-e.applied:
 	}
 	if e.err != nil {
-		line.WithError(e.err).Warn("a configuration can't be applied: the whole one is requested")
-		return true, behindRetryInterval, false
+		return &unappliedError{cause: e.err}
 	}
-	if a.QuorumAgeMillis >= int(v.config.MaxQuorumAge.Milliseconds()) {
-		line.Warn("a control instance is behind")
-		return true, behindRetryInterval, false
+	if e.answer.QuorumAgeMillis >= int(v.config.MaxQuorumAge.Milliseconds()) {
+		return newBehindError(e.answer)
 	}
-	return true, 0, true
+	return nil
 }
 
-// retryIntervalFor returns how long to leave a control instance after a failed poll.
-func retryIntervalFor(err error) time.Duration {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return behindRetryInterval
+// leave logs why a control instance is left, and sets when it may be polled again while a more distant one answers.
+func (v *View) leave(address string, err error) {
+	line := v.config.Log.WithError(err).WithField("control", address)
+	interval := silentRetryInterval
+	behind, unapplied := (*behindError)(nil), (*unappliedError)(nil)
+	switch {
+	case errors.As(err, &behind):
+		interval = behindRetryInterval
+		line.WithFields(logrus.Fields{"quorumAgeMillis": behind.quorumAgeMillis, "revision": behind.revision}).Warn("a control instance is behind")
+	case errors.As(err, &unapplied):
+		interval = behindRetryInterval
+		line.Warn("a configuration can't be applied: the whole one is requested")
+	case errors.Is(err, syscall.ECONNREFUSED):
+		interval = behindRetryInterval
+		line.Warn("a control instance does not answer")
+	default:
+		line.Warn("a control instance does not answer")
 	}
-	return silentRetryInterval
+	v.retryAt[address] = v.clock.Now().Add(interval)
 }
 
 // sinceOtherPoll returns how long ago a control instance at any other address may have received a poll that it counts.
@@ -252,6 +263,7 @@
 	return age
 }
 
+// newPoll returns a poll from which a control instance learns what the node has, without the node's own entry.
 func (v *View) newPoll(s *snapshot, wait time.Duration) message.Poll {
 	p := message.Poll{
 		Revision:      int(s.configuration.Revision()),
@@ -259,7 +271,6 @@
 		MemberVersion: s.memberVersion,
 		Services:      []string{},
 		WaitMillis:    int(wait.Milliseconds()),
-		Member:        codec.FromMember(v.ownMember.Load()),
 		MembersDigest: &s.membersDigest,
 	}
 	if t := s.configuration.Table(); t != nil {
