End held polls once a control instance is no longer current

Cause: whether an instance is current was asked when a poll came and when it was answered, but not while it was held. Evidence: TestInstanceThatIsNoLongerCurrentHoldsNoPoll held a poll for its whole 1.9 s before. Why this works: a held poll ends when the last proof is 1.25 s old. That is a heartbeat more than the age at which new polls are turned away, so that one late proof sends no node away.

--- a/internal/control/subscription/server.go
+++ b/internal/control/subscription/server.go
@@ -23,6 +23,10 @@
 // of limits. Nodes that find it behind go on to another control instance, which shall count them at once.
 const maxCountingAge = time.Second
 
+// maxHoldingAge is the quorum age at which an instance that is no longer current ends the polls that it holds. It is above maxCountingAge,
+// so that one proof that comes late does not send all nodes to other instances.
+const maxHoldingAge = maxCountingAge + 250*time.Millisecond
+
 // coalesceTime is how long a poll waits after a change for further ones, so that changes in quick succession, such as the
 // members of a fleet that starts, cost a few messages a node instead of one for each change.
 const coalesceTime = 100 * time.Millisecond
@@ -192,11 +196,28 @@
 		return
 	}
 	wait := min(time.Duration(p.WaitMillis)*time.Millisecond, maxPollWait)
-	if s.waitForEither(ctx, wait, configurationChanged, d.Changed()) {
+	if s.waitWhileCurrent(ctx, wait, configurationChanged, d.Changed()) {
 		s.waitForEither(ctx, coalesceTime, nil, nil)
 	}
 }
 
+// waitWhileCurrent does what waitForEither does, and also returns false once this instance has not been current for a while, so that
+// its nodes leave it.
+func (s *Server) waitWhileCurrent(ctx context.Context, wait time.Duration, a, b <-chan struct{}) bool {
+	end := s.clock.Now().Add(wait)
+	for ctx.Err() == nil {
+		now := s.clock.Now()
+		left := min(end.Sub(now), maxHoldingAge-s.log.QuorumAge(now))
+		if left <= 0 {
+			return false
+		}
+		if s.waitForEither(ctx, left, a, b) {
+			return true
+		}
+	}
+	return false
+}
+
 // waitForEither returns when one of two channels is closed, the waiting time is over or the context ends, and reports whether
 // it was a channel.
 func (s *Server) waitForEither(ctx context.Context, wait time.Duration, a, b <-chan struct{}) bool {
--- a/internal/control/subscription/server_test.go
+++ b/internal/control/subscription/server_test.go
@@ -1,7 +1,10 @@
 package subscription
 
 import (
+	"context"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -30,6 +33,63 @@
 	return figpier.NewMember(figpier.MemberConfig{Instance: figpier.InstanceID(instance), Service: s, Sequence: sequence})
 }
 
+// fakeLog is a replicated log that was last known to be current at a time that the test sets.
+type fakeLog struct {
+	figpier.ReplicatedLog
+	mu      sync.Mutex
+	current time.Time
+}
+
+func (l *fakeLog) QuorumAge(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.current)
+}
+
+func (l *fakeLog) proveCurrent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current = time.Now()
+}
+
+// bubbleClock returns the fake time of a synctest bubble.
+type bubbleClock struct{ system.Clock }
+
+// Now implements figpier.Clock.
+func (bubbleClock) Now() time.Time { return time.Now() }
+
+// TestInstanceThatIsNoLongerCurrentHoldsNoPoll guards against nodes that learn only at the end of a held poll that their control instance
+// may lack the newest configuration.
+func TestInstanceThatIsNoLongerCurrentHoldsNoPoll(t *testing.T) {
+	hold := func(t *testing.T, prove bool) time.Duration {
+		s := New(Config{})
+		log := &fakeLog{current: time.Now()}
+		s.clock, s.log = bubbleClock{}, log
+		s.registry = &fakeRegistry{}
+		s.history.install(figpier.NewConfiguration(figpier.ConfigurationConfig{Revision: 1}))
+		if prove {
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			go func() {
+				for ctx.Err() == nil {
+					log.proveCurrent()
+					select {
+					case <-ctx.Done():
+					case <-time.After(700 * time.Millisecond):
+					}
+				}
+			}()
+		}
+		began := time.Now()
+		s.waitForChange(t.Context(), message.Poll{Revision: 1, MemberVersion: 7, WaitMillis: 1900})
+		return time.Since(began)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		assert.Equal(t, hold(t, false), maxHoldingAge)
+		assert.Equal(t, hold(t, true), 1900*time.Millisecond)
+	})
+}
+
 // TestNodeWithTheSameMembersIsNotSentThemAgain guards against a full list for each node that changes its control instance, or
 // whose control instance restarts: versions of registries can't be compared, but the digests of the lists can.
 func TestNodeWithTheSameMembersIsNotSentThemAgain(t *testing.T) {
