Deny requests only by a view that is as young as a change may take

What callers saw: 404 for a route, or 401 for a key, that had been added more than 2 s before (CONFIG): a final answer, after which nobody comes back, from a node that had not heard of it. Cause: "no route" and "unknown key" came from whatever table the node held. Only the use of keys waited for a fresh view, and fresh was measured by the withdrawal of keys (4 s), not by how soon a change has to be in force. Class: a negative answer without regard to the age of what it rests on. The gate of the product's own nodes, its listener for other nodes and the one for exit calls did the same. Why this works: a view is confirmed as of a time before which no accepted configuration is missing. A request that came less than the bound after it can't have been sent the bound after a change that the view lacks. An older view makes the request wait for a part of its time, as for a first table, and then refuses it with 503, not run, and a turn to come back. Requests that the table allows go on as before, also by an old view.

--- a/internal/host/process/mesh.go
+++ b/internal/host/process/mesh.go
@@ -153,7 +153,10 @@
 
 // meshGateConfig returns the configuration of the gate of a mesh node.
 func meshGateConfig(s *settings.Settings) tablegate.Config {
-	return tablegate.Config{Service: figpier.UpstreamService(s.Mesh().Service)}
+	return tablegate.Config{
+		Service:     figpier.UpstreamService(s.Mesh().Service),
+		Propagation: s.Mesh().Propagation,
+	}
 }
 
 // seedAddresses returns the seeds of a mesh node or of a control instance, none for settings of another kind of process.
--- a/internal/host/process/propagation_test.go
+++ b/internal/host/process/propagation_test.go
@@ -27,7 +27,7 @@
 	"mesh": {
 		"service": "litters", "callers": "127.0.0.1:7001", "peers": "127.0.0.1:7002", "announcements": "127.0.0.1:7003",
 		"readiness": "127.0.0.1:7004", "backend": "127.0.0.1:7005", "seeds": ["127.0.0.2:7001"],
-		"withdrawal": "5s", "drain": "2s", "grace": "6s",
+		"withdrawal": "5s", "propagation": "2s", "drain": "2s", "grace": "6s",
 		"retries": {"window": "10s", "share": 0.2, "slack": 40}, "quota": {"window": "5s", "share": 0.1, "slack": 20}
 	}
 }`
@@ -78,6 +78,7 @@
 	m.view = configview.New(meshViewConfig(s, "node/1", nil))
 	m.gate = tablegate.New(meshGateConfig(s))
 	run(t, &endpoint{network: m.network}, seedList{"a1", "b1"}, m.view, openLimiter{}, openRanker{}, openReadiness{}, m.gate)
+	synctest.Wait()
 	return m
 }
 
--- a/internal/host/settings/mesh.go
+++ b/internal/host/settings/mesh.go
@@ -26,6 +26,7 @@
 		Backend:       r.readRemoteAddress(o.Required("backend")),
 		Seeds:         readSeeds(o.Required("seeds"), p),
 		Withdrawal:    o.Required("withdrawal").Duration(minDuration, maxDuration),
+		Propagation:   o.Required("propagation").Duration(minDuration, maxDuration),
 		Drain:         o.Required("drain").Duration(minDuration, maxDuration),
 		Grace:         o.Required("grace").Duration(minDuration, maxDuration),
 		Retries:       readAllowance(o.Required("retries").Object()),
--- a/internal/traffic/exit/handler.go
+++ b/internal/traffic/exit/handler.go
@@ -146,7 +146,7 @@
 	}
 	route, ok := p.Match(r.Method, r.URL.Path)
 	if !ok {
-		return nil, figpier.Refuse(figpier.RefusalNoRoute)
+		return nil, figpier.Deny(h.view, h.clock.Now(), figpier.RefusalNoRoute)
 	}
 	return route, nil
 }
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -61,7 +61,7 @@
 	}
 	route, ok := profile.Match(a.Method(), a.Path())
 	if !ok {
-		return nil, figpier.Refuse(figpier.RefusalNoRoute)
+		return nil, figpier.Deny(g.view, g.clock.Now(), figpier.RefusalNoRoute)
 	}
 	customer, digest, err := g.identify(configuration, route, a)
 	if err != nil {
@@ -111,7 +111,7 @@
 		return "", none, nil
 	}
 	if len(keys) == 0 {
-		return "", none, figpier.Refuse(figpier.RefusalKeyMissing)
+		return "", none, figpier.Deny(g.view, g.clock.Now(), figpier.RefusalKeyMissing)
 	}
 	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKeyBytes {
 		return "", none, figpier.Refuse(figpier.RefusalKeyMalformed)
--- a/internal/traffic/gate/gate_test.go
+++ b/internal/traffic/gate/gate_test.go
@@ -117,6 +117,8 @@
 		{"unknown key", arrival("/a", "other"), false, nil, 0, figpier.RefusalKeyUnknown, ""},
 		{"stale view", arrival("/a", secret), true, nil, 0, figpier.RefusalStaleView, ""},
 		{"no route", figpier.NewArrival(figpier.ArrivalConfig{Method: "PUT", Path: "/a"}), false, nil, 0, figpier.RefusalNoRoute, ""},
+		{"no route in a stale view", figpier.NewArrival(figpier.ArrivalConfig{Method: "PUT", Path: "/a"}), true, nil, 0, figpier.RefusalStaleView, ""},
+		{"no key in a stale view", arrival("/a"), true, nil, 0, figpier.RefusalStaleView, ""},
 		{"over the rate", arrival("/a", secret), false, overRate, 0, figpier.RefusalOverRate, "valv"},
 		{"too soon", arrival("/a", secret), false, nil, time.Second, figpier.RefusalRetryTooSoon, "valv"},
 	}
--- a/internal/traffic/peer/listener.go
+++ b/internal/traffic/peer/listener.go
@@ -105,10 +105,10 @@
 	}
 	route, ok := profile.Match(r.Method, r.URL.Path)
 	if !ok {
-		return nil, figpier.Refuse(figpier.RefusalNoRoute)
+		return nil, figpier.Deny(l.view, now, figpier.RefusalNoRoute)
 	}
 	if c.Customer == "" && !route.Open() {
-		return nil, figpier.Refuse(figpier.RefusalKeyMissing)
+		return nil, figpier.Deny(l.view, now, figpier.RefusalKeyMissing)
 	}
 	c.Service = l.config.Service
 	c.Route = route.Pattern()
--- a/internal/traffic/tablegate/gate.go
+++ b/internal/traffic/tablegate/gate.go
@@ -31,6 +31,8 @@
 type Config struct {
 	// Service is the service on whose instance the callers run; calls carry it as their caller's service.
 	Service figpier.UpstreamService
+	// Propagation is how long after its acceptance a table has to be in force. A view that is older denies nothing.
+	Propagation time.Duration
 }
 
 // Gate admits requests by the routing table. It implements figpier.Gate.
@@ -76,14 +78,10 @@
 // Enter implements figpier.Gate. A request waits a part of its time for a view that can admit it, because a node that has just
 // started, or has lost its control instance, mostly gets one within a second.
 func (g *Gate) Enter(ctx context.Context, a *figpier.Arrival) (*figpier.Call, error) {
-	t, err := g.awaitTable(ctx, a)
+	t, route, err := g.awaitRoute(ctx, a)
 	if err != nil {
 		return figpier.NewCall(figpier.CallConfig{RequestID: a.ID()}), err
 	}
-	route, ok := t.Route(a.Host(), a.Path())
-	if !ok {
-		return figpier.NewCall(figpier.CallConfig{RequestID: a.ID()}), figpier.Refuse(figpier.RefusalNoRoute)
-	}
 	c := figpier.CallConfig{
 		RequestID:     a.ID(),
 		Route:         route.Name(),
@@ -127,17 +125,39 @@
 	return figpier.NewCall(c), nil
 }
 
-// awaitTable returns the routing table, which a node that has just started may get while the request waits.
-func (g *Gate) awaitTable(ctx context.Context, a *figpier.Arrival) (*figpier.Table, error) {
+// awaitRoute returns the route of a request and its table, both of which the node may get while the request waits. Only a view that may
+// deny says that there is no route.
+func (g *Gate) awaitRoute(ctx context.Context, a *figpier.Arrival) (t *figpier.Table, route *figpier.HostRoute, err error) {
 	patience := maxTableWait
 	if a.Remaining() > 0 {
 		patience = min(patience, a.Remaining()/tableWaitDivisor)
 	}
-	known := func() bool { return g.view.Configuration().Table() != nil }
-	if !g.await(ctx, a.Received().Add(patience), known) {
-		return nil, g.refuseNotReady(figpier.RefusalNotReady, figpier.HighestPriority)
+	found := false
+	decided := func() bool {
+		mayDeny := g.mayDeny(a)
+		if t = g.view.Configuration().Table(); t == nil {
+			return false
+		}
+		route, found = t.Route(a.Host(), a.Path())
+		return found || mayDeny
+	}
+	if !g.await(ctx, a.Received().Add(patience), decided) {
+		reason := figpier.RefusalStaleView
+		if t == nil {
+			reason = figpier.RefusalNotReady
+		}
+		return nil, nil, g.refuseNotReady(reason, figpier.HighestPriority)
 	}
-	return g.view.Configuration().Table(), nil
+	if !found {
+		return nil, nil, figpier.Refuse(figpier.RefusalNoRoute)
+	}
+	return t, route, nil
+}
+
+// mayDeny reports whether the view is known to be no older, as of the arrival of a request, than a table may take to be in force. It is
+// asked before the table is read, so that the table is at least as new.
+func (g *Gate) mayDeny(a *figpier.Arrival) bool {
+	return a.Received().Sub(g.view.Confirmed()) < g.config.Propagation
 }
 
 // refuseNotReady returns a refusal that gives the caller a turn of its own to come back.
@@ -216,28 +236,44 @@
 }
 
 // identify returns the account whose key came with the request, and the key's digest. The account is nil on an open route and
-// in a table without keys. It waits for a fresh view until patience is over.
+// in a table without keys. It waits for a view that can decide until patience is over.
 func (g *Gate) identify(ctx context.Context, t *figpier.Table, r *figpier.HostRoute, a *figpier.Arrival, patience time.Duration) (*figpier.Account, figpier.KeyDigest, error) {
 	var none figpier.KeyDigest
 	if r.Open() || !t.Keyed() {
 		return nil, none, nil
 	}
 	if len(a.Keys()) == 0 {
-		return nil, none, figpier.Refuse(figpier.RefusalKeyMissing)
-	}
-	fresh := func() bool { return g.view.Fresh(g.clock.Now()) }
-	if !g.await(ctx, a.Received().Add(patience), fresh) {
-		return nil, none, g.refuseNotReady(figpier.RefusalStaleView, r.Priority())
-	}
-	if newer := g.view.Configuration().Table(); newer != nil {
-		// The key may have been withdrawn while the request waited.
-		t = newer
+		return nil, none, g.denyWithoutKey(ctx, r, a, patience)
 	}
 	// Keys are looked up by digest, so that the duration of a lookup reveals nothing about the secret.
 	digest := figpier.KeyDigest(sha256.Sum256([]byte(a.Keys()[0])))
-	account, ok := t.AccountOf(digest)
-	if !ok {
+	var account *figpier.Account
+	found := false
+	decided := func() bool {
+		mayDeny := g.mayDeny(a)
+		if !g.view.Fresh(g.clock.Now()) {
+			return false
+		}
+		// The key may have been withdrawn, or given, while the request waited.
+		if newer := g.view.Configuration().Table(); newer != nil {
+			t = newer
+		}
+		account, found = t.AccountOf(digest)
+		return found || mayDeny
+	}
+	if !g.await(ctx, a.Received().Add(patience), decided) {
+		return nil, none, g.refuseNotReady(figpier.RefusalStaleView, r.Priority())
+	}
+	if !found {
 		return nil, none, figpier.Refuse(figpier.RefusalKeyUnknown)
 	}
 	return account, digest, nil
 }
+
+// denyWithoutKey returns the refusal of a request that came without the key that its route requires.
+func (g *Gate) denyWithoutKey(ctx context.Context, r *figpier.HostRoute, a *figpier.Arrival, patience time.Duration) *figpier.Refusal {
+	if !g.await(ctx, a.Received().Add(patience), func() bool { return g.mayDeny(a) }) {
+		return g.refuseNotReady(figpier.RefusalStaleView, r.Priority())
+	}
+	return figpier.Refuse(figpier.RefusalKeyMissing)
+}
