Tell nodes a configuration within the event that applies it

What callers could have seen: a withdrawn key honoured, or an older route used, by a node that was told that its configuration is current. Cause: the log publishes how recently it was current at the end of the event that commits an entry, while the configuration was handed on for a later event. In between, polls were answered with the new age and the old configuration, and views are confirmed by just that pair. Why this works: the catalog's subscribers run on the control thread within that event, before the log publishes; the server now installs the configuration there.

--- a/internal/control/subscription/server.go
+++ b/internal/control/subscription/server.go
@@ -80,30 +80,34 @@
 	if err != nil {
 		return err
 	}
-	s.catalog.Subscribe(func(c *figpier.Configuration) { _ = d.Control().Post(configurationEvent{configuration: c}) })
+	// Installed within the event that applies it: the log publishes at the end of that event that it is current.
+	s.catalog.Subscribe(s.install)
 	m.Handle(figpier.MethodPoll, s.handlePoll)
 	m.Handle(figpier.MethodControls, s.handleControls)
-	return d.Control().Post(configurationEvent{configuration: s.catalog.Configuration()})
+	return d.Control().Post(startEvent{})
 }
 
 // Stop implements figpier.Service.
 func (s *Server) Stop(context.Context) error { return nil }
 
-// configurationEvent carries an accepted configuration to the control thread.
-type configurationEvent struct{ configuration *figpier.Configuration }
+// startEvent has the control thread install the configuration that was applied before the server subscribed to the catalog.
+type startEvent struct{}
 
 // Target implements figpier.Event.
-func (configurationEvent) Target() figpier.ServiceName { return figpier.SubscriptionService }
+func (startEvent) Target() figpier.ServiceName { return figpier.SubscriptionService }
 
 // HandleEvent implements figpier.EventHandler.
 func (s *Server) HandleEvent(_ time.Time, e figpier.Event) {
-	a, ok := e.(configurationEvent)
-	if !ok {
-		return
+	if _, ok := e.(startEvent); ok {
+		s.install(s.catalog.Configuration())
 	}
-	if current, _ := s.history.latest(); current == nil || current.Revision() < a.configuration.Revision() {
-		s.history.install(a.configuration)
-		s.logConfiguration(a.configuration)
+}
+
+// install makes a configuration the one that polls are answered with, unless that is as new. It runs on the control thread.
+func (s *Server) install(c *figpier.Configuration) {
+	if current, _ := s.history.latest(); current == nil || current.Revision() < c.Revision() {
+		s.history.install(c)
+		s.logConfiguration(c)
 	}
 }
 
--- a/internal/control/subscription/server_test.go
+++ b/internal/control/subscription/server_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/figpier/figpier"
+	"github.com/figpier/figpier/internal/kernel/registry"
 	"github.com/figpier/figpier/internal/kernel/system"
 	"github.com/figpier/figpier/internal/wire/codec"
 	"github.com/figpier/figpier/internal/wire/message"
@@ -90,6 +91,47 @@
 	})
 }
 
+// Fakes of the services that a server finds besides the log and the registry.
+type (
+	fakeCatalog struct {
+		figpier.Catalog
+		publish func(*figpier.Configuration)
+	}
+	fakeExchange  struct{ figpier.Exchange }
+	fakeMessenger struct{ figpier.Messenger }
+)
+
+func (*fakeLog) Name() figpier.ServiceName                          { return figpier.ReplicaService }
+func (*fakeLog) Leader() figpier.InstanceID                         { return "" }
+func (*fakeRegistry) Name() figpier.ServiceName                     { return figpier.RegistryService }
+func (*fakeRegistry) Count() int                                    { return 0 }
+func (*fakeCatalog) Name() figpier.ServiceName                      { return figpier.CatalogService }
+func (*fakeCatalog) Configuration() *figpier.Configuration          { return newRevision(1) }
+func (c *fakeCatalog) Subscribe(f func(*figpier.Configuration))     { c.publish = f }
+func (fakeExchange) Name() figpier.ServiceName                      { return figpier.ExchangeService }
+func (fakeExchange) Controls() []figpier.ControlPlace               { return nil }
+func (fakeMessenger) Name() figpier.ServiceName                     { return figpier.MessengerService }
+func (fakeMessenger) Handle(figpier.Method, figpier.MessageHandler) {}
+
+func newRevision(r figpier.Revision) *figpier.Configuration {
+	return figpier.NewConfiguration(figpier.ConfigurationConfig{Revision: r})
+}
+
+// TestAnswerIsAsNewAsItsQuorumAge guards against an answer that calls a configuration current after a newer one was applied: nodes would
+// believe for as long as a view is fresh that the older one is in force.
+func TestAnswerIsAsNewAsItsQuorumAge(t *testing.T) {
+	log, c, s := &fakeLog{}, &fakeCatalog{}, New(Config{})
+	// The kernel does not run, so that no event is handled between the steps.
+	k := registry.New(registry.Config{Clock: system.Clock{}})
+	for _, service := range []figpier.Service{log, c, &fakeRegistry{}, fakeExchange{}, fakeMessenger{}, s} {
+		assert.NilError(t, k.Register(service))
+	}
+	assert.NilError(t, s.Start(t.Context(), k))
+	c.publish(newRevision(2))
+	log.proveCurrent()
+	assert.Equal(t, s.answer(message.Poll{Revision: 1}, false, true).Revision, 2)
+}
+
 // TestNodeWithTheSameMembersIsNotSentThemAgain guards against a full list for each node that changes its control instance, or
 // whose control instance restarts: versions of registries can't be compared, but the digests of the lists can.
 func TestNodeWithTheSameMembersIsNotSentThemAgain(t *testing.T) {
