--- a/internal/control/replica/cluster_test.go
+++ b/internal/control/replica/cluster_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,8 +17,10 @@
 
 	"github.com/figpier/figpier"
 	"github.com/figpier/figpier/internal/control/catalog"
+	"github.com/figpier/figpier/internal/control/disk"
 	"github.com/figpier/figpier/internal/kernel/registry"
 	"github.com/figpier/figpier/internal/kernel/system"
+	"github.com/figpier/figpier/internal/policy/raft"
 )
 
 // network connects the messengers of a test. Messages from and to an isolated instance are lost without an error.
@@ -123,6 +127,8 @@
 	log     *Log
 	catalog *catalog.Catalog
 	stop    func()
+	// full makes the disk refuse all writes.
+	full atomic.Bool
 }
 
 // cluster is three control instances on an in-memory network, each with a data folder on disk.
@@ -156,8 +162,15 @@
 	return c
 }
 
+// start runs the instance until stop is called. It must not end by itself.
 func (i *instance) start() {
+	i.run(func(err error) { assert.Check(i.cluster.t, err) })
+}
+
+// run starts the instance. It calls ended with the result once the instance has ended.
+func (i *instance) run(ended func(error)) {
 	i.log = New(Config{Instance: i.name, Address: string(i.name), DataFolder: i.folder, Peers: i.cluster.peers})
+	i.log.wrapWrite = i.refuseWhenFull
 	i.catalog = catalog.New()
 	i.log.SetStateMachine(i.catalog)
 	k := registry.New(registry.Config{Clock: system.Clock{}})
@@ -167,17 +180,32 @@
 	ready := &startProbe{started: make(chan struct{})}
 	assert.NilError(i.cluster.t, k.Register(ready))
 	stop, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
+	done := make(chan struct{})
 	go func() {
-		done <- k.Run(stop, func() (context.Context, context.CancelFunc) {
+		defer close(done)
+		ended(k.Run(stop, func() (context.Context, context.CancelFunc) {
 			return context.WithTimeout(context.Background(), time.Minute)
-		})
+		}))
 	}()
 	<-ready.started
-	i.stop = sync.OnceFunc(func() {
+	i.stop = func() {
 		cancel()
-		assert.Check(i.cluster.t, <-done)
-	})
+		<-done
+	}
+}
+
+// refuseWhenFull returns a function that writes unless the disk is full.
+func (i *instance) refuseWhenFull(write writeFunc) writeFunc {
+	var refused error
+	return func(all []*raft.Effects) error {
+		if refused == nil && i.full.Load() {
+			refused = disk.Error.Wrap(syscall.ENOSPC)
+		}
+		if refused != nil {
+			return refused
+		}
+		return write(all)
+	}
 }
 
 // startProbe is registered last and closes started when all other services have started.
--- a/internal/control/replica/service.go
+++ b/internal/control/replica/service.go
@@ -99,6 +99,8 @@
 	sender       *sender
 	published    atomic.Pointer[status]
 	seeds        figpier.SeedSource
+	// wrapWrite returns the function that the writer calls in place of that of the disk, the same one outside tests.
+	wrapWrite func(write writeFunc) writeFunc
 	// handedOver is closed when a hand-over has ended.
 	handedOver chan struct{}
 
@@ -135,6 +137,7 @@
 		handedOver: make(chan struct{}),
 		cancelTick: func() {},
 		proposals:  map[string]*proposal{},
+		wrapWrite:  func(write writeFunc) writeFunc { return write },
 	}
 	if l.log == nil {
 		silent := logrus.New()
@@ -174,7 +177,7 @@
 	l.logFolderState()
 	l.runContext, l.cancelRun = context.WithCancel(ctx)
 	l.machine = l.newMachine()
-	l.writer = newWriter(l.disk, l.control)
+	l.writer = newWriter(l.wrapWrite(l.disk.Write), l.control)
 	l.sender = newSender(l.runContext, l.messenger)
 	go l.writer.run(l.runContext)
 	l.registerHandlers()
--- a/internal/control/replica/writer.go
+++ b/internal/control/replica/writer.go
@@ -5,13 +5,15 @@
 	"sync"
 
 	"github.com/figpier/figpier"
-	"github.com/figpier/figpier/internal/control/disk"
 	"github.com/figpier/figpier/internal/policy/raft"
 )
 
-// writer makes effects durable in order on its own goroutine; all that are queued share one call of disk.Write.
+// writeFunc makes effects durable in order. After an error every further call returns the same error.
+type writeFunc func(all []*raft.Effects) error
+
+// writer makes effects durable in order on its own goroutine; all that are queued share one call of write.
 type writer struct {
-	disk    *disk.Disk
+	write   writeFunc
 	control figpier.ControlThread
 	// wake holds a value while the queue may have entries.
 	wake chan struct{}
@@ -22,9 +24,9 @@
 	queue []*raft.Effects
 }
 
-func newWriter(d *disk.Disk, c figpier.ControlThread) *writer {
+func newWriter(write writeFunc, c figpier.ControlThread) *writer {
 	return &writer{
-		disk:    d,
+		write:   write,
 		control: c,
 		wake:    make(chan struct{}, 1),
 		done:    make(chan struct{}),
@@ -58,6 +60,6 @@
 	batch := w.queue
 	w.queue = nil
 	w.mu.Unlock()
-	err := w.disk.Write(batch)
+	err := w.write(batch)
 	_ = w.control.Post(writesFinished{effects: batch, err: err})
 }
