Decide a request by one table, also after it has waited

What callers saw: a denial by the table that was there when a request came, although the request had then waited for a newer one in which its route is open or its key unneeded. Cause: route and key were looked up at different times, in different tables. Evidence: TestRequestWithoutKeyOnARouteOpenedMeanwhileIsAdmitted failed before (401). Why this works: what a table says of a request is one pure function, and the wait repeats it for each new view until that view may decide.

--- a/internal/host/process/propagation_test.go
+++ b/internal/host/process/propagation_test.go
@@ -219,6 +219,27 @@
 	})
 }
 
+// TestRequestWithoutKeyOnARouteOpenedMeanwhileIsAdmitted guards against a denial by the table that a request found when it came, after it
+// has waited for a newer one.
+func TestRequestWithoutKeyOnARouteOpenedMeanwhileIsAdmitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := startMesh(t)
+		<-time.After(5 * time.Second)
+		for address := range m.controls {
+			m.network.silence(address)
+		}
+		<-time.After(propagationBound)
+		for address := range m.controls {
+			m.network.restore(address)
+		}
+		m.accept(figpier.NewConfiguration(figpier.ConfigurationConfig{Revision: 2, Table: figpier.NewTable(figpier.TableConfig{
+			Number: 2, Revision: 2, KeysRequired: true, Routes: []*figpier.HostRoute{newRoute("/keyed/", true)},
+		})}))
+		r := m.enter(t.Context(), "/keyed/x")
+		assert.Assert(t, r == nil, "%v", r)
+	})
+}
+
 // TestNodeThatAnnouncesItselfOftenLeavesASilentControlInstance guards against a time-out that starts anew with each poll that
 // replaces another.
 func TestNodeThatAnnouncesItselfOftenLeavesASilentControlInstance(t *testing.T) {
--- a/internal/traffic/tablegate/gate.go
+++ b/internal/traffic/tablegate/gate.go
@@ -78,44 +78,33 @@
 // Enter implements figpier.Gate. A request waits a part of its time for a view that can admit it, because a node that has just
 // started, or has lost its control instance, mostly gets one within a second.
 func (g *Gate) Enter(ctx context.Context, a *figpier.Arrival) (*figpier.Call, error) {
-	t, route, err := g.awaitRoute(ctx, a)
+	route, err := g.awaitRoute(ctx, a)
 	if err != nil {
 		return figpier.NewCall(figpier.CallConfig{RequestID: a.ID()}), err
 	}
-	c := figpier.CallConfig{
-		RequestID:     a.ID(),
-		Route:         route.Name(),
-		Priority:      route.Priority(),
-		Deadline:      a.Received().Add(requestTimeout(route, a)),
-		Budget:        max(0, route.Attempts()-1),
-		Idempotent:    route.Idempotent(),
-		CallerService: g.config.Service,
-	}
+	c := g.callConfig(a, route)
 	if err := g.ready.Take(a.Received(), c.Deadline, c.Priority); err != nil {
 		return figpier.NewCall(c), err
 	}
-	patience := c.Deadline.Sub(a.Received())
-	if route.Target() > 0 {
-		patience = min(patience, route.Target())
-	}
-	patience = time.Duration(patienceFraction * float64(patience))
-	account, digest, err := g.identify(ctx, t, route, a, patience)
+	giveUp := a.Received().Add(patience(a, route))
+	d, err := g.awaitDecision(ctx, a, route, giveUp)
 	if err != nil {
 		return figpier.NewCall(c), err
 	}
-	if account != nil {
-		c.Customer, c.KeyDigest = account.Customer(), digest
+	c = g.callConfig(a, d.route)
+	c.Priority = priorityClass(d.table, d.route, d.account)
+	if d.account != nil {
+		c.Customer, c.KeyDigest = d.account.Customer(), d.digest
 	}
-	c.Priority = priorityClass(t, route, account)
-	if c.Service, err = g.pickService(route); err != nil {
+	if c.Service, err = g.pickService(d.route); err != nil {
 		return figpier.NewCall(c), err
 	}
-	if account != nil {
+	if d.account != nil {
 		token := figpier.NewTokenRequest(figpier.TokenRequestConfig{
 			Customer: c.Customer,
 			Service:  c.Service,
-			Priority: route.Priority(),
-			Patience: a.Received().Add(patience).Sub(g.clock.Now()),
+			Priority: d.route.Priority(),
+			Patience: giveUp.Sub(g.clock.Now()),
 		})
 		if err := g.limiter.Take(ctx, token); err != nil {
 			return figpier.NewCall(c), err
@@ -125,33 +114,110 @@
 	return figpier.NewCall(c), nil
 }
 
-// awaitRoute returns the route of a request and its table, both of which the node may get while the request waits. Only a view that may
-// deny says that there is no route.
-func (g *Gate) awaitRoute(ctx context.Context, a *figpier.Arrival) (t *figpier.Table, route *figpier.HostRoute, err error) {
-	patience := maxTableWait
+// callConfig returns what a route says of a request.
+func (g *Gate) callConfig(a *figpier.Arrival, r *figpier.HostRoute) figpier.CallConfig {
+	return figpier.CallConfig{
+		RequestID:     a.ID(),
+		Route:         r.Name(),
+		Priority:      r.Priority(),
+		Deadline:      a.Received().Add(requestTimeout(r, a)),
+		Budget:        max(0, r.Attempts()-1),
+		Idempotent:    r.Idempotent(),
+		CallerService: g.config.Service,
+	}
+}
+
+// patience returns how long a request may wait before it is sent on.
+func patience(a *figpier.Arrival, r *figpier.HostRoute) time.Duration {
+	whole := requestTimeout(r, a)
+	if r.Target() > 0 {
+		whole = min(whole, r.Target())
+	}
+	return time.Duration(patienceFraction * float64(whole))
+}
+
+// awaitRoute returns the route of a request, which the node may get while the request waits. Only a view that may deny says that there
+// is none.
+func (g *Gate) awaitRoute(ctx context.Context, a *figpier.Arrival) (*figpier.HostRoute, error) {
+	wait := maxTableWait
 	if a.Remaining() > 0 {
-		patience = min(patience, a.Remaining()/tableWaitDivisor)
+		wait = min(wait, a.Remaining()/tableWaitDivisor)
 	}
-	found := false
+	var d decision
 	decided := func() bool {
 		mayDeny := g.mayDeny(a)
-		if t = g.view.Configuration().Table(); t == nil {
-			return false
-		}
-		route, found = t.Route(a.Host(), a.Path())
-		return found || mayDeny
+		d = decide(g.view.Configuration().Table(), a)
+		return d.route != nil || d.table != nil && mayDeny
+	}
+	switch ok := g.await(ctx, a.Received().Add(wait), decided); {
+	case d.route != nil:
+		return d.route, nil
+	case ok:
+		return nil, figpier.Refuse(d.denial)
+	case d.table != nil:
+		return nil, g.refuseNotReady(figpier.RefusalStaleView, figpier.HighestPriority)
+	}
+	return nil, g.refuseNotReady(figpier.RefusalNotReady, figpier.HighestPriority)
+}
+
+// decision is what one table says of a request.
+type decision struct {
+	// table is nil if there is none.
+	table *figpier.Table
+	// route is nil if the table has none for the request.
+	route *figpier.HostRoute
+	// account is the one whose key came with the request, and digest that of the key. The account is nil on an open route and in a table
+	// without keys.
+	account *figpier.Account
+	digest  figpier.KeyDigest
+	// denial is the reason why the table does not allow the request, empty if it does.
+	denial figpier.RefusalReason
+}
+
+// decide returns what a table, nil for none, says of a request. It does not know the age of the table.
+func decide(t *figpier.Table, a *figpier.Arrival) decision {
+	d := decision{table: t}
+	if t == nil {
+		return d
+	}
+	var ok bool
+	if d.route, ok = t.Route(a.Host(), a.Path()); !ok {
+		return decision{table: t, denial: figpier.RefusalNoRoute}
+	}
+	if d.route.Open() || !t.Keyed() {
+		return d
+	}
+	if len(a.Keys()) == 0 {
+		d.denial = figpier.RefusalKeyMissing
+		return d
 	}
-	if !g.await(ctx, a.Received().Add(patience), decided) {
-		reason := figpier.RefusalStaleView
-		if t == nil {
-			reason = figpier.RefusalNotReady
+	// Keys are looked up by digest, so that the duration of a lookup reveals nothing about the secret.
+	d.digest = sha256.Sum256([]byte(a.Keys()[0]))
+	if d.account, ok = t.AccountOf(d.digest); !ok {
+		d.denial = figpier.RefusalKeyUnknown
+	}
+	return d
+}
+
+// awaitDecision returns the decision of a view that may make it: one that may deny, where the request is denied, and one that is fresh
+// enough for keys, where it is admitted by its key. The request waits for that until giveUp.
+func (g *Gate) awaitDecision(ctx context.Context, a *figpier.Arrival, r *figpier.HostRoute, giveUp time.Time) (decision, error) {
+	var d decision
+	decided := func() bool {
+		mayDeny, fresh := g.mayDeny(a), g.view.Fresh(g.clock.Now())
+		d = decide(g.view.Configuration().Table(), a)
+		if d.denial != "" {
+			return mayDeny
 		}
-		return nil, nil, g.refuseNotReady(reason, figpier.HighestPriority)
+		return d.account == nil || fresh
+	}
+	if !g.await(ctx, giveUp, decided) {
+		return d, g.refuseNotReady(figpier.RefusalStaleView, r.Priority())
 	}
-	if !found {
-		return nil, nil, figpier.Refuse(figpier.RefusalNoRoute)
+	if d.denial != "" {
+		return d, figpier.Refuse(d.denial)
 	}
-	return t, route, nil
+	return d, nil
 }
 
 // mayDeny reports whether the view is known to be no older, as of the arrival of a request, than a table may take to be in force. It is
@@ -234,46 +300,3 @@
 	}
 	return s, nil
 }
-
-// identify returns the account whose key came with the request, and the key's digest. The account is nil on an open route and
-// in a table without keys. It waits for a view that can decide until patience is over.
-func (g *Gate) identify(ctx context.Context, t *figpier.Table, r *figpier.HostRoute, a *figpier.Arrival, patience time.Duration) (*figpier.Account, figpier.KeyDigest, error) {
-	var none figpier.KeyDigest
-	if r.Open() || !t.Keyed() {
-		return nil, none, nil
-	}
-	if len(a.Keys()) == 0 {
-		return nil, none, g.denyWithoutKey(ctx, r, a, patience)
-	}
-	// Keys are looked up by digest, so that the duration of a lookup reveals nothing about the secret.
-	digest := figpier.KeyDigest(sha256.Sum256([]byte(a.Keys()[0])))
-	var account *figpier.Account
-	found := false
-	decided := func() bool {
-		mayDeny := g.mayDeny(a)
-		if !g.view.Fresh(g.clock.Now()) {
-			return false
-		}
-		// The key may have been withdrawn, or given, while the request waited.
-		if newer := g.view.Configuration().Table(); newer != nil {
-			t = newer
-		}
-		account, found = t.AccountOf(digest)
-		return found || mayDeny
-	}
-	if !g.await(ctx, a.Received().Add(patience), decided) {
-		return nil, none, g.refuseNotReady(figpier.RefusalStaleView, r.Priority())
-	}
-	if !found {
-		return nil, none, figpier.Refuse(figpier.RefusalKeyUnknown)
-	}
-	return account, digest, nil
-}
-
-// denyWithoutKey returns the refusal of a request that came without the key that its route requires.
-func (g *Gate) denyWithoutKey(ctx context.Context, r *figpier.HostRoute, a *figpier.Arrival, patience time.Duration) *figpier.Refusal {
-	if !g.await(ctx, a.Received().Add(patience), func() bool { return g.mayDeny(a) }) {
-		return g.refuseNotReady(figpier.RefusalStaleView, r.Priority())
-	}
-	return figpier.Refuse(figpier.RefusalKeyMissing)
-}
