--- a/internal/host/logs/log_test.go
+++ b/internal/host/logs/log_test.go
@@ -71,6 +71,38 @@
 	})
 }
 
+// fakeView is a node's view with a table that was confirmed at a time.
+type fakeView struct {
+	figpier.ConfigurationView
+	confirmed time.Time
+}
+
+func (*fakeView) Name() figpier.ServiceName { return figpier.ConfigurationService }
+
+func (*fakeView) Configuration() *figpier.Configuration {
+	t := figpier.NewTable(figpier.TableConfig{Number: 12, Revision: 7})
+	return figpier.NewConfiguration(figpier.ConfigurationConfig{Revision: 7, Table: t})
+}
+
+func (v *fakeView) Confirmed() time.Time { return v.confirmed }
+
+// TestRefusedNamesTheViewThatDecided guards against denials of which nobody can tell afterwards whether the node was late or right.
+func TestRefusedNamesTheViewThatDecided(t *testing.T) {
+	out, clock := &bytes.Buffer{}, &fakeClock{now: time.Unix(10, 0)}
+	l, err := New(Config{Output: out, Instance: "node-a"})
+	assert.NilError(t, err)
+	q := NewRequests(l)
+	k := registry.New(registry.Config{Clock: clock})
+	assert.NilError(t, k.Register(&fakeView{confirmed: clock.now.Add(-1500 * time.Millisecond)}))
+	assert.NilError(t, q.Start(t.Context(), k))
+	q.Refused(figpier.NewCall(figpier.CallConfig{RequestID: "r1"}), figpier.Refuse(figpier.RefusalNoRoute))
+	line := decodeLines(t, out)[0]
+	assert.Equal(t, line["requestId"], "r1")
+	assert.Equal(t, line["table"], 12.0)
+	assert.Equal(t, line["revision"], 7.0)
+	assert.Equal(t, line["viewAgeMillis"], 1500.0)
+}
+
 func TestExcessRefusalsAreDroppedAndCounted(t *testing.T) {
 	q, out, clock := newTestRequests(t, "info")
 	for range maxLinesPerWindow + 30 {
