--- a/internal/control/replica/disk_full_test.go
+++ b/internal/control/replica/disk_full_test.go
@@ -19,7 +19,7 @@
 	restartDelay = 300 * time.Millisecond
 	// fullTime is how long a disk takes no writes.
 	fullTime = 2 * time.Second
-	// acknowledgementBound is the users' bound ack_timeout, within which an edit has to be acknowledged while most instances run.
+	// acknowledgementBound is the time within which an edit has to be acknowledged while most instances run, as the users state it.
 	acknowledgementBound = 4 * time.Second
 )
 
--- a/internal/host/process/propagation_test.go
+++ b/internal/host/process/propagation_test.go
@@ -18,10 +18,10 @@
 )
 
 // propagationBound is the time after its acceptance from which a configuration must be in force at every node that has a path to the
-// control instances: the users' bound config_propagation.
+// control instances, as the users state it.
 const propagationBound = 2 * time.Second
 
-// nodeSettings are the settings of the node: it runs in data centre a1 of region a, and its seeds are "a1" and "b1".
+// nodeSettings are the settings of the node, which runs in data centre a1 of region a.
 const nodeSettings = `{
 	"instance": "node", "dataCentre": "a1", "region": "a", "messages": "127.0.0.1:7000", "privateNetwork": true,
 	"mesh": {
@@ -128,6 +128,20 @@
 	}
 }
 
+// loseAllControl silences all control instances.
+func (m *mesh) loseAllControl() {
+	for address := range m.controls {
+		m.network.silence(address)
+	}
+}
+
+// restoreAllControl ends the silence of all control instances.
+func (m *mesh) restoreAllControl() {
+	for address := range m.controls {
+		m.network.restore(address)
+	}
+}
+
 // awaitRevision returns the time until the node has a revision, and fails the test if it has not after limit.
 func (m *mesh) awaitRevision(t *testing.T, n figpier.Revision, limit time.Duration) time.Duration {
 	t.Helper()
@@ -188,9 +202,7 @@
 				<-time.After(5 * time.Second)
 				denied := m.enter(t.Context(), c.path, c.keys...)
 				assert.Assert(t, denied != nil && denied.Status() >= 400 && denied.Status() < 500, "a view that is current denies: %v", denied)
-				for address := range m.controls {
-					m.network.silence(address)
-				}
+				m.loseAllControl()
 				<-time.After(propagationBound)
 				r := m.enter(t.Context(), c.path, c.keys...)
 				assert.Assert(t, r != nil)
@@ -206,13 +218,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := startMesh(t)
 		<-time.After(5 * time.Second)
-		for address := range m.controls {
-			m.network.silence(address)
-		}
+		m.loseAllControl()
 		<-time.After(propagationBound)
-		for address := range m.controls {
-			m.network.restore(address)
-		}
+		m.restoreAllControl()
 		m.accept(revision(2))
 		r := m.enter(t.Context(), "/r2/x")
 		assert.Assert(t, r == nil, "%v", r)
@@ -225,13 +233,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := startMesh(t)
 		<-time.After(5 * time.Second)
-		for address := range m.controls {
-			m.network.silence(address)
-		}
+		m.loseAllControl()
 		<-time.After(propagationBound)
-		for address := range m.controls {
-			m.network.restore(address)
-		}
+		m.restoreAllControl()
 		m.accept(figpier.NewConfiguration(figpier.ConfigurationConfig{Revision: 2, Table: figpier.NewTable(figpier.TableConfig{
 			Number: 2, Revision: 2, KeysRequired: true, Routes: []*figpier.HostRoute{newRoute("/keyed/", true)},
 		})}))
