Start nodes on settings that lack mesh.propagation or leave it empty

What callers saw: nothing is served.

Cause: added the setting without a default. A platform, template or test bed that doesn't know it renders an empty text, which was read as a wrong value, and all nodes get the same template. Evidence: the log of sidecar-1 ("mesh.propagation: want a length of time with a unit", exit status 3), "propagation": "" in its settings, and settings check, which refuses the file without the line too.

The setting is optional now. Its default is the greatest age of a view whose polls are answered in time, 2 s: a longer one would let a node deny by an old table, a shorter one would cost 503s in calm. The node says at its start which bound it uses, and warns if it wasn't told. In settings files an empty text, or no value at all, counts as a missing field for every field, so that a required one is refused by name and not as a syntax error; a wrong value is refused by name as before. Seeds are checked also where the message address is invalid.

--- a/internal/host/jsonc/document.go
+++ b/internal/host/jsonc/document.go
@@ -15,12 +15,24 @@
 	data     []byte
 	root     hujson.Value
 	problems []*Problem
+	// rendered is true for a file that a template may have left values out of.
+	rendered bool
 }
 
 // Parse parses JSON with comments. Problems show name as the name of the file. It returns a *ProblemsError if the syntax is wrong
 // or the nesting too deep.
 func Parse(name string, data []byte) (*Document, error) {
-	d := &Document{name: name, data: bytes.Clone(data)}
+	return parse(&Document{name: name, data: bytes.Clone(data)})
+}
+
+// ParseRendered parses JSON with comments that may be rendered from a template, like Parse. A template leaves nothing where it has no
+// value for a placeholder, so a field whose value is an empty text or is missing counts as a field that the file lacks.
+func ParseRendered(name string, data []byte) (*Document, error) {
+	return parse(&Document{name: name, data: fillMissingValues(data), rendered: true})
+}
+
+// parse parses the data of a document.
+func parse(d *Document) (*Document, error) {
 	if offset, exceeded := findExcessDepth(d.data); exceeded {
 		d.addProblem(d.lineAt(offset), "", fmt.Sprintf("more than %d lists and objects stand inside one another", maxDepth))
 		return nil, d.Err()
--- a/internal/host/jsonc/object.go
+++ b/internal/host/jsonc/object.go
@@ -43,19 +43,29 @@
 	}
 }
 
-// Optional returns a field. If the file lacks it, its methods return zero values and report no problem.
+// Optional returns a field. If the file lacks it, its methods return zero values and report no problem. In a file that was rendered
+// from a template, an empty field counts as one that the file lacks.
 func (o *Object) Optional(name string) *Field {
 	o.accessed[name] = true
-	if f, ok := o.fields[name]; ok {
-		return f
+	f, ok := o.fields[name]
+	switch {
+	case !ok:
+		return &Field{document: o.document, path: joinPath(o.path, name), line: o.line}
+	case o.document.rendered && isEmptyText(f.value):
+		return &Field{document: o.document, path: f.path, line: f.Line()}
 	}
-	return &Field{document: o.document, path: joinPath(o.path, name), line: o.line}
+	return f
 }
 
 // Required returns a field and reports a problem if the file lacks it.
 func (o *Object) Required(name string) *Field {
 	f := o.Optional(name)
-	if !f.set {
+	_, written := o.fields[name]
+	switch {
+	case f.set:
+	case written:
+		f.Failf("the field is empty")
+	default:
 		f.Failf("the field is missing")
 	}
 	return f
--- a/internal/host/process/mesh.go
+++ b/internal/host/process/mesh.go
@@ -78,6 +78,10 @@
 	// meshMaxQuorumAge is the time since its last proof of a quorum after which a control instance counts as behind: several
 	// heartbeats of the leader.
 	meshMaxQuorumAge = time.Second
+	// defaultPropagation is the time in which a routing table is expected to be in force if the settings don't tell it: the greatest
+	// age of a view whose polls are answered in time. A longer one would let a node deny requests by a table of which it can't know
+	// that it is the newest; with a shorter one, nodes would answer 503 while nothing is wrong.
+	defaultPropagation = meshMaxQuorumAge + meshPollWait + meshAnswerTimeout
 	// usedRetryFraction is the fraction of the allowed retries that a node makes, as a retry also repeats the calls further down
 	// the call tree.
 	usedRetryFraction = 0.5
@@ -93,6 +97,7 @@
 	service := figpier.UpstreamService(m.Service)
 	instance := newIncarnation(s)
 	k := registry.New(registry.Config{Clock: system.Clock{}})
+	logPropagation(m, l)
 	return k, registerAll(k,
 		logs.NewRequests(l),
 		metrics.New(metrics.Config{Address: s.Metrics()}),
@@ -155,10 +160,20 @@
 func meshGateConfig(s *settings.Settings) tablegate.Config {
 	return tablegate.Config{
 		Service:     figpier.UpstreamService(s.Mesh().Service),
-		Propagation: s.Mesh().Propagation,
+		Propagation: s.Mesh().Propagation.Or(defaultPropagation),
 	}
 }
 
+// logPropagation logs the time in which the node expects a routing table to be in force, and whether the settings tell it.
+func logPropagation(m *settings.MeshSettings, l *logrus.Entry) {
+	l = l.WithField("propagation", m.Propagation.Or(defaultPropagation).String())
+	if m.Propagation == 0 {
+		l.Warn("the settings lack mesh.propagation: using the default")
+		return
+	}
+	l.Info("using mesh.propagation of the settings")
+}
+
 // seedAddresses returns the seeds of a mesh node or of a control instance, none for settings of another kind of process.
 func seedAddresses(s *settings.Settings) []string {
 	switch {
--- a/internal/host/settings/mesh.go
+++ b/internal/host/settings/mesh.go
@@ -15,7 +15,7 @@
 	maxAllowanceSlack = 1e6
 )
 
-// readMesh reads the section "mesh", in which the timings are required and have no defaults.
+// readMesh reads the section "mesh", in which all timings but those that later builds added are required and have no defaults.
 func (r *reader) readMesh(o *jsonc.Object, p processSettings) *MeshSettings {
 	s := &MeshSettings{
 		Service:       readName(o.Required("service")),
@@ -26,7 +26,7 @@
 		Backend:       r.readRemoteAddress(o.Required("backend")),
 		Seeds:         readSeeds(o.Required("seeds"), p),
 		Withdrawal:    o.Required("withdrawal").Duration(minDuration, maxDuration),
-		Propagation:   o.Required("propagation").Duration(minDuration, maxDuration),
+		Propagation:   readDuration(o.Optional("propagation"), maxDuration),
 		Drain:         o.Required("drain").Duration(minDuration, maxDuration),
 		Grace:         o.Required("grace").Duration(minDuration, maxDuration),
 		Retries:       readAllowance(o.Required("retries").Object()),
@@ -65,10 +65,8 @@
 // readSeeds reads the addresses of instances on which control instances run, and drops duplicates. The port of each is replaced by
 // the port of this process's own message address, so that the list may name the ports of another listener.
 func readSeeds(f *jsonc.Field, p processSettings) []string {
-	own, err := netip.ParseAddrPort(p.Messages)
-	if err != nil {
-		return nil
-	}
+	// An invalid message address has been reported; the seeds are checked all the same.
+	own, _ := netip.ParseAddrPort(p.Messages)
 	var seeds []string
 	f.EachElement(func(e *jsonc.Field) {
 		a, ok := parseAddress(e)
--- a/internal/host/settings/read.go
+++ b/internal/host/settings/read.go
@@ -46,7 +46,7 @@
 }
 
 func parse(name string, data []byte, checkFile func(*jsonc.Field, string)) (*Settings, error) {
-	d, err := jsonc.Parse(name, data)
+	d, err := jsonc.ParseRendered(name, data)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/host/settings/settings.go
+++ b/internal/host/settings/settings.go
@@ -95,7 +95,7 @@
 	// Withdrawal is the time after which a withdrawn key must be rejected everywhere.
 	Withdrawal time.Duration
 	// Propagation is the time after which an accepted routing table must be in force everywhere.
-	Propagation time.Duration
+	Propagation Duration
 	// Drain is the time after which a draining backend server must receive no new requests.
 	Drain time.Duration
 	// Grace is the time from the stop signal until the process is killed.
