Use a backend server after a restart of its node only once it shows that it runs

Its node had acknowledged the deregistration, was killed and started again, and then got a heartbeat from before it.

Cause: what a node knows of departed runs is in its memory only, and it believed any first announcement.

An announcement of a run that began over a second before the node is in doubt, and is used once a health check of that run succeeds, or with the next announcement of a higher number. Related paths: a deregistration of a run that the node didn't know was forgotten, and after its expiry an older announcement of the same run counted as new.

No check is relaxed.

--- a/exchange.go
+++ b/exchange.go
@@ -153,6 +153,13 @@
 	Classify(status int, h http.Header, c *Call) Verdict
 }
 
+// HealthCheck asks the local backend server how it is.
+type HealthCheck interface {
+	Service
+	// Check returns an error unless an incarnation of the backend server answers at the address and path that it is healthy.
+	Check(ctx context.Context, address, path, incarnation string) error
+}
+
 // Readiness reports whether a node accepts new callers.
 type Readiness interface {
 	Service
--- a/internal/host/process/mesh.go
+++ b/internal/host/process/mesh.go
@@ -114,6 +114,7 @@
 			Seed:       xxh3.HashString(string(instance)),
 		}),
 		tablegate.New(meshGateConfig(s)),
+		platform.NewHealthCheck(),
 		upstream.New(upstream.Config{
 			Address:             m.Backend,
 			AnnouncementTimeout: backendTimeout,
--- a/internal/traffic/upstream/event.go
+++ b/internal/traffic/upstream/event.go
@@ -21,6 +21,12 @@
 	done         chan struct{}
 }
 
+// checked reports that the health check confirmed an announcement that was in doubt.
+type checked struct {
+	event
+	announcement figpier.Announcement
+}
+
 // withdrawn carries the notice of one incarnation of the backend server that it leaves. A zero start time matches any
 // start of the incarnation.
 type withdrawn struct {
@@ -52,14 +58,16 @@
 }
 
 // HandleEvent implements figpier.EventHandler. The caller waits on done, which is closed after the change is published.
-func (u *Upstream) HandleEvent(_ time.Time, e figpier.Event) {
+func (u *Upstream) HandleEvent(now time.Time, e figpier.Event) {
 	switch e := e.(type) {
 	case announced:
 		defer close(e.done)
 		u.onAnnounced(e.announcement)
+	case checked:
+		u.onChecked(e.announcement)
 	case withdrawn:
 		defer close(e.done)
-		u.onWithdrawn(e)
+		u.onWithdrawn(now, e)
 	case noticeOver:
 		u.drained = u.drained || u.draining && e.incarnation == u.newest.Incarnation()
 	case announcementExpired:
@@ -73,14 +81,85 @@
 	u.publish()
 }
 
-// onAnnounced applies an announcement unless a newer one has been applied. A new incarnation starts without slots or
-// drain state of the previous one.
+// onAnnounced applies an announcement unless a newer one has been applied or it is in doubt.
 func (u *Upstream) onAnnounced(a figpier.Announcement) {
-	if u.known && outdated(a, u.newest) {
+	if u.ordered(a) && outdated(a, u.newest) {
 		u.logEntry(a).Info("ignored an outdated announcement of the backend server")
 		return
 	}
-	if !u.known || !sameIncarnation(a, u.newest) {
+	if u.left.covers(a) && !sameIncarnation(a, u.newest) {
+		u.logEntry(a).Info("ignored a late announcement of a backend server that has deregistered")
+		return
+	}
+	if u.inDoubt(a) {
+		if outdated(a, u.doubted) {
+			return
+		}
+		u.logEntry(a).Info("the backend server may have left before the node started: waiting for a sign that it runs")
+		u.doubted = a
+		u.check(a)
+		return
+	}
+	u.apply(a)
+}
+
+// ordered reports whether an announcement can be compared with the newest one, also after that has expired. A run without a start time
+// can't be told from a later one of the same name.
+func (u *Upstream) ordered(a figpier.Announcement) bool { return u.known || !a.Started().IsZero() }
+
+// inDoubt reports whether an announcement may be a late one of a run that deregistered at a previous start of the node, which left no
+// trace here. A later announcement of the same run removes the doubt, as does any announcement of a drain.
+func (u *Upstream) inDoubt(a figpier.Announcement) bool {
+	switch {
+	case a.Draining() || a.Started().After(u.started.Add(-startMargin)):
+		return false
+	case u.ordered(a) && sameIncarnation(a, u.newest):
+		return false
+	}
+	return !sameIncarnation(a, u.doubted) || a.Sequence() <= u.doubted.Sequence()
+}
+
+// check starts a health check of the backend server for an announcement that is in doubt. It does nothing while the node doesn't know
+// the path of the check.
+func (u *Upstream) check(a figpier.Announcement) {
+	path := healthPath(u.view.Configuration().Table(), u.config.Member.Service)
+	if path == "" {
+		return
+	}
+	ctx := u.ctx
+	go func() {
+		if err := u.health.Check(ctx, u.config.Address, path, a.Incarnation()); err != nil {
+			u.logEntry(a).WithError(err).Info("the health check did not confirm the backend server")
+			return
+		}
+		_ = u.control.Post(checked{announcement: a})
+	}()
+}
+
+// healthPath returns the path of a service's health check, empty if the table doesn't have it.
+func healthPath(t *figpier.Table, s figpier.UpstreamService) string {
+	if t == nil {
+		return ""
+	}
+	for _, service := range t.Services() {
+		if service.Name() == s {
+			return service.HealthPath()
+		}
+	}
+	return ""
+}
+
+// onChecked applies an announcement that is no longer in doubt, unless another one has come meanwhile.
+func (u *Upstream) onChecked(a figpier.Announcement) {
+	if sameIncarnation(a, u.doubted) && a.Sequence() == u.doubted.Sequence() {
+		u.apply(a)
+	}
+}
+
+// apply puts an announcement in use. A new incarnation starts without slots or drain state of the previous one.
+func (u *Upstream) apply(a figpier.Announcement) {
+	u.doubted = figpier.Announcement{}
+	if !u.ordered(a) || !sameIncarnation(a, u.newest) {
 		u.logEntry(a).Info("the backend server announced itself")
 		u.cancelNotice()
 		u.draining, u.drained = false, false
@@ -112,8 +191,27 @@
 	return a.Incarnation() == b.Incarnation() && a.Started().Equal(b.Started())
 }
 
-// onWithdrawn starts the drain if the withdrawal is for the current run of the backend server.
-func (u *Upstream) onWithdrawn(e withdrawn) {
+// departure is the end of all runs of an incarnation that had started by a time.
+type departure struct {
+	incarnation string
+	startedBy   time.Time
+}
+
+// covers reports whether an announcement comes from a run that has left. One without a start time may come from a later run.
+func (d departure) covers(a figpier.Announcement) bool {
+	return a.Incarnation() == d.incarnation && !a.Started().IsZero() && !a.Started().After(d.startedBy)
+}
+
+// onWithdrawn starts the drain if the withdrawal is for the current run of the backend server. It remembers a run that the node has not
+// heard of or has in doubt, so that late announcements don't bring it back.
+func (u *Upstream) onWithdrawn(now time.Time, e withdrawn) {
+	u.left = departure{incarnation: e.incarnation, startedBy: e.started}
+	if e.started.IsZero() {
+		u.left.startedBy = now
+	}
+	if e.incarnation == u.doubted.Incarnation() {
+		u.doubted = figpier.Announcement{}
+	}
 	n := u.newest
 	if !u.known || e.incarnation != n.Incarnation() || !e.started.IsZero() && !e.started.Equal(n.Started()) {
 		return
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -25,6 +25,10 @@
 	Log *logrus.Entry
 }
 
+// startMargin is how much earlier than the node a run of the backend server may have started without being in doubt: both start together
+// with the instance, in any order.
+const startMargin = time.Second
+
 // snapshot is the state that traffic threads read; it is never changed once published.
 type snapshot struct {
 	incarnation string
@@ -42,11 +46,19 @@
 	control   figpier.ControlThread
 	view      figpier.ConfigurationView
 	admission figpier.Admission
+	health    figpier.HealthCheck
 	current   atomic.Pointer[snapshot]
+	// ctx ends with the service, and started is the time at which the service started.
+	ctx     context.Context
+	started time.Time
 
 	// The fields below belong to the control thread.
 
 	newest figpier.Announcement
+	// doubted is the newest announcement that is neither confirmed nor in use.
+	doubted figpier.Announcement
+	// left is the run that deregistered last.
+	left departure
 	// known means that newest has not expired.
 	known bool
 	// draining means that the backend server has begun to drain, drained that the notice is over as well.
@@ -73,8 +85,12 @@
 func (u *Upstream) Name() figpier.ServiceName { return figpier.BackendService }
 
 // Start implements figpier.Service.
-func (u *Upstream) Start(_ context.Context, d figpier.Directory) (err error) {
+func (u *Upstream) Start(ctx context.Context, d figpier.Directory) (err error) {
+	u.ctx, u.started = ctx, d.Clock().Now()
 	u.control = d.Control()
+	if u.health, err = figpier.FindHealthCheck(d); err != nil {
+		return err
+	}
 	if u.view, err = figpier.FindView(d); err != nil {
 		return err
 	}
--- a/lookup.go
+++ b/lookup.go
@@ -90,6 +90,11 @@
 	return findService[Deliverer](d, DeliveryService)
 }
 
+// FindHealthCheck finds the health check of the local backend server of a node.
+func FindHealthCheck(d Directory) (HealthCheck, error) {
+	return findService[HealthCheck](d, HealthCheckService)
+}
+
 // FindDialect finds the dialect of the local backend server of a node.
 func FindDialect(d Directory) (Dialect, error) {
 	return findService[Dialect](d, DialectService)
--- a/names.go
+++ b/names.go
@@ -35,6 +35,7 @@
 	ForwardService        ServiceName = "traffic.forward"
 	DeliveryService       ServiceName = "traffic.delivery"
 	DialectService        ServiceName = "traffic.dialect"
+	HealthCheckService    ServiceName = "traffic.health-check"
 	ReadinessService      ServiceName = "traffic.readiness"
 )
 
