Keep the connection of a long body whose receiver pauses

Cause: TCP_USER_TIMEOUT counts a closed receive window like data that is not acknowledged.

A streamed body, over 64 KiB or of unknown length, is sent without that timeout, between nodes, to backend servers and by the product's own nodes. It can't be sent again once it has been read from, so that the timeout gained it nothing but an earlier 502. Buffered bodies keep it, and the connection has it again with its next request.

--- a/internal/link/web/forward.go
+++ b/internal/link/web/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -15,9 +16,6 @@
 	"github.com/figpier/figpier"
 )
 
-// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, whose value is in milliseconds; package syscall lacks it.
-const tcpUserTimeout = 18
-
 // maxAnswerHeadBytes bounds the head of an answer, with its informational ones, for servers that send a head without end.
 const maxAnswerHeadBytes = 256 << 10
 
@@ -50,15 +48,19 @@
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, c.UnacknowledgedTimeout) },
 	}
-	dial := dialer.DialContext
-	if c.Wrap != nil {
-		dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-			opened, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return c.Wrap(address, opened), nil
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		opened, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		conn := &clientConn{Conn: opened, unacknowledged: c.UnacknowledgedTimeout, current: c.UnacknowledgedTimeout}
+		if conn.raw, err = opened.(*net.TCPConn).SyscallConn(); err != nil {
+			return nil, errors.Join(Error.Wrap(err), opened.Close())
+		}
+		if c.Wrap != nil {
+			conn.Conn = c.Wrap(address, opened)
 		}
+		return conn, nil
 	}
 	return &http.Transport{
 		DialContext:         dial,
@@ -70,23 +72,11 @@
 	}
 }
 
-// setUserTimeout has the kernel close a connection whose data stays unacknowledged for the timeout.
-func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
-	})
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	return Error.Wrap(optionErr)
-}
-
 // NewForwardRequest returns the request that forwards an inbound request to an address, and the record of this attempt. The target
 // is passed on byte for byte, and the headers are copied.
 func NewForwardRequest(ctx context.Context, address string, i *figpier.Inbound, body io.ReadCloser) (*http.Request, *Attempt) {
 	a := &Attempt{}
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.reached.Store(true) }}
+	trace := newTrace(a, i.Length())
 	header := i.Header().Clone()
 	if header.Get("User-Agent") == "" {
 		// Without an entry net/http adds a User-Agent of its own.
--- a/internal/link/web/relay.go
+++ b/internal/link/web/relay.go
@@ -65,7 +65,7 @@
 // attempt. Hop-by-hop headers and those that only the system may set are left out.
 func NewRelayRequest(ctx context.Context, r *http.Request, address string, body io.ReadCloser, length int64) (*http.Request, *Attempt) {
 	a := &Attempt{}
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.reached.Store(true) }}
+	trace := newTrace(a, length)
 	trailer := allowedTrailers(r.Trailer)
 	out := (&http.Request{
 		Method: r.Method,
--- a/internal/link/web/replayable_body.go
+++ b/internal/link/web/replayable_body.go
@@ -29,7 +29,7 @@
 // NewReplayableBody reads the whole body if it is to be buffered, and returns a *figpier.Refusal if it breaks off. A length of -1
 // means that it is not known.
 func NewReplayableBody(body io.ReadCloser, length int64) (*ReplayableBody, error) {
-	if length < 0 || length > maxReplayBytes {
+	if streams(length) {
 		return &ReplayableBody{streamed: body, length: length}, nil
 	}
 	buffered, err := io.ReadAll(body)
@@ -39,6 +39,9 @@
 	return &ReplayableBody{buffered: buffered, length: length}, nil
 }
 
+// streams reports whether a body of a length, -1 for an unknown one, is streamed.
+func streams(length int64) bool { return length < 0 || length > maxReplayBytes }
+
 // Length returns the length of the body in bytes, -1 where it is not known.
 func (b *ReplayableBody) Length() int64 { return b.length }
 
