Earn tokens only for the time for which a pool's nodes were counted

Cause: the part of a limit moves with the node that polls, but the bucket at the next instance was credited with what that part earns since its process started or its last use, while the node spent it elsewhere.

The registry adds up the time for which members were counted, and buckets earn for that time alone. A member counts at one instance at most, so all pools together earn the rate once; the test over random moves checks the sum. What a customer had left of its burst at a lost instance is lost.

Failed before: TestMovedNodeGetsNoSecondBurst.

--- a/control.go
+++ b/control.go
@@ -126,6 +126,8 @@
 	// CountPolling returns the number of members that poll this control instance regularly, and the greatest recent number at
 	// all control instances. A member that changes control instance is briefly counted at neither.
 	CountPolling(now time.Time) (local, all int)
+	// PolledTime returns the time since the start for which members were counted by CountPolling, added up over the members.
+	PolledTime(now time.Time) time.Duration
 	// Since returns the changes after a version across all control instances.
 	Since(version uint64) MemberDelta
 	// LocalSince returns the changes after a version among the members that poll this control instance.
--- a/internal/control/members/registry.go
+++ b/internal/control/members/registry.go
@@ -51,15 +51,19 @@
 	// peak is the greatest recent size of overall, which was last reached at peakAt.
 	peak   int
 	peakAt time.Time
+	// polled is the time until polledAt for which members were counted, added up over the members.
+	polled   time.Duration
+	polledAt time.Time
 }
 
 // lease keeps a local member registered until it expires.
 type lease struct {
 	expiresAt time.Time
 	// pollingSince is when a poll of another control instance last counted, as the member said, and countedAt is when one of this
-	// control instance last did; both are zero until one has.
+	// control instance last did; both are zero until one has. countedSince is when the polls that count here began.
 	pollingSince time.Time
 	countedAt    time.Time
+	countedSince time.Time
 	// cancel stops the timer that ends the lease.
 	cancel func()
 }
@@ -81,8 +85,10 @@
 
 // Start implements figpier.Service.
 func (r *Registry) Start(_ context.Context, d figpier.Directory) error {
+	now := d.Clock().Now()
 	r.control = d.Control()
-	r.settledAt = d.Clock().Now().Add(r.config.Lease)
+	r.settledAt = now.Add(r.config.Lease)
+	r.polledAt = now
 	return nil
 }
 
@@ -117,6 +123,33 @@
 	return local, r.peak
 }
 
+// PolledTime implements figpier.Registry.
+func (r *Registry) PolledTime(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !now.After(r.polledAt) {
+		return r.polled
+	}
+	for _, l := range r.leases {
+		r.polled += l.countedBetween(r.polledAt, now)
+	}
+	r.polledAt = now
+	return r.polled
+}
+
+// countedBetween returns for how long of a period a member was counted.
+func (l lease) countedBetween(from, to time.Time) time.Duration {
+	for _, begin := range []time.Time{l.countedSince, l.pollingSince.Add(minPollingTime)} {
+		if begin.After(from) {
+			from = begin
+		}
+	}
+	if end := l.countedAt.Add(pollingTimeout); end.Before(to) {
+		to = end
+	}
+	return max(0, to.Sub(from))
+}
+
 // announceEvent carries a member's announcement to the control thread.
 type announceEvent struct {
 	member *figpier.Member
@@ -193,6 +226,9 @@
 		l.pollingSince = since
 	}
 	if e.counts {
+		if now.Sub(l.countedAt) > pollingTimeout {
+			l.countedSince = now
+		}
 		l.countedAt = now
 	}
 	r.leases[id] = l
--- a/internal/control/members/registry_test.go
+++ b/internal/control/members/registry_test.go
@@ -85,7 +85,7 @@
 		registries := []*Registry{New(Config{Lease: 3 * time.Second}), New(Config{Lease: 3 * time.Second}), New(Config{Lease: 3 * time.Second})}
 		counted := make([]time.Time, len(registries))
 		for _, r := range registries {
-			r.control = fakeControl{}
+			r.control, r.polledAt = fakeControl{}, start
 		}
 		at := 0
 		for step := range 200 {
@@ -110,10 +110,31 @@
 				all += n
 			}
 			assert.Assert(t, all <= 1, "step %d: counted at %d control instances", step, all)
+			if rapid.IntRange(0, 9).Draw(t, "ask") == 0 {
+				polled := time.Duration(0)
+				for _, r := range registries {
+					polled += r.PolledTime(now)
+				}
+				assert.Assert(t, polled <= now.Sub(start), "step %d: a node's time is counted twice: %v", step, polled)
+			}
 		}
 	})
 }
 
+func TestPolledTimeAddsUpTheMembersThatPoll(t *testing.T) {
+	r := New(Config{Lease: 3 * time.Second})
+	now := time.Unix(0, 0)
+	r.control, r.polledAt = fakeControl{}, now
+	for range 40 {
+		now = now.Add(250 * time.Millisecond)
+		r.HandleEvent(now, announceEvent{member: member("b1", 1), elsewhere: time.Hour, counts: true})
+		r.HandleEvent(now, announceEvent{member: member("b2", 1), elsewhere: time.Hour, counts: true})
+	}
+	assert.Equal(t, r.PolledTime(now), 2*39*250*time.Millisecond)
+	assert.Equal(t, r.PolledTime(now), 2*39*250*time.Millisecond)
+	assert.Equal(t, r.PolledTime(now.Add(time.Minute)), 2*(39*250*time.Millisecond+pollingTimeout))
+}
+
 // TestPollsThatDoNotCountDelayNoLaterCount covers the restart of all control instances: members poll one after the other while
 // none of them is current, and are counted at the first one that is.
 func TestPollsThatDoNotCountDelayNoLaterCount(t *testing.T) {
--- a/internal/control/operator/node_test.go
+++ b/internal/control/operator/node_test.go
@@ -29,6 +29,7 @@
 func (fakeRegistry) Count() int                                    { return 1 }
 
 func (fakeRegistry) CountPolling(time.Time) (local, all int) { return 1, 1 }
+func (fakeRegistry) PolledTime(time.Time) time.Duration      { return 0 }
 func (fakeRegistry) RemoveSource(figpier.InstanceID)         {}
 
 func (fakeRegistry) Merge(figpier.InstanceID, figpier.MemberDelta, bool) {}
--- a/internal/control/pool/pool.go
+++ b/internal/control/pool/pool.go
@@ -67,6 +67,7 @@
 		SlackRequests:   p.config.SlackRequests,
 		Start:           p.startedAt,
 		Credit:          true,
+		Held:            p.held,
 	})
 	if p.catalog, err = figpier.FindCatalog(d); err != nil {
 		return err
@@ -85,6 +86,12 @@
 	return nil
 }
 
+// held is quota.Config.Held: the nodes that poll this instance hold its share.
+func (p *Pool) held(now time.Time) (nodes int, total time.Duration) {
+	nodes, _ = p.registry.CountPolling(now)
+	return nodes, p.registry.PolledTime(now)
+}
+
 // Stop implements figpier.Service.
 func (p *Pool) Stop(context.Context) error { return nil }
 
--- a/internal/control/pool/pool_test.go
+++ b/internal/control/pool/pool_test.go
@@ -27,8 +27,12 @@
 
 // cluster is a set of pools with one simulated clock, by the addresses of their control instances.
 type cluster struct {
-	now       time.Time
-	limit     figpier.Limit
+	now time.Time
+	// started is the time at which all nodes began to poll.
+	started time.Time
+	limit   figpier.Limit
+	// nodes is the number of nodes that an asking node knows of.
+	nodes     int
 	pools     map[string]*Pool
 	grantedAt []time.Time
 }
@@ -43,14 +47,14 @@
 }
 
 func newCluster(rate float64, addresses ...string) *cluster {
-	x := &cluster{now: time.Unix(1000, 0), pools: map[string]*Pool{}}
+	x := &cluster{now: time.Unix(1000, 0), started: time.Unix(1000, 0), nodes: nodes, pools: map[string]*Pool{}}
 	x.limit = figpier.NewLimit(figpier.LimitConfig{Rate: rate, Burst: rate})
 	log, _ := test.NewNullLogger()
 	for _, a := range addresses {
 		p := New(Config{Address: a, Window: window, OverageFraction: overage, SlackRequests: slack, Log: logrus.NewEntry(log)})
 		i := fakeServices{all: x}
 		p.clock, p.catalog, p.registry, p.exchange, p.messenger = i, i, i, i, i
-		p.quotas = quota.New(quota.Config{Window: window, OverageFraction: overage, SlackRequests: slack, Start: x.now})
+		p.quotas = quota.New(quota.Config{Window: window, OverageFraction: overage, SlackRequests: slack, Start: x.now, Held: p.held})
 		x.pools[a] = p
 	}
 	return x
@@ -66,6 +70,11 @@
 	return nodes / len(i.all.pools), nodes
 }
 
+func (i fakeServices) PolledTime(now time.Time) time.Duration {
+	polling, _ := i.CountPolling(now)
+	return time.Duration(polling) * now.Sub(i.all.started)
+}
+
 func (i fakeServices) Configuration() *figpier.Configuration {
 	account := figpier.NewAccount(figpier.AccountConfig{Customer: customer, Limit: i.all.limit})
 	table := figpier.NewTable(figpier.TableConfig{Number: 1, Accounts: []*figpier.Account{account}})
@@ -98,7 +107,7 @@
 	for end := x.now.Add(d); x.now.Before(end); x.now = x.now.Add(step) {
 		for _, address := range addresses {
 			a, err := x.pools[address].handleTokenRequest(t.Context(), func(m any) error {
-				*m.(*message.PoolAsk) = message.PoolAsk{Customer: customer, Nodes: nodes}
+				*m.(*message.PoolAsk) = message.PoolAsk{Customer: customer, Nodes: x.nodes}
 				return nil
 			})
 			assert.NilError(t, err)
@@ -157,3 +166,47 @@
 		}
 	}
 }
+
+// movedNode is the registry of a control instance that the only node polls since a time.
+type movedNode struct {
+	figpier.Registry
+	since time.Time
+}
+
+func (m movedNode) Settled(time.Time) bool { return true }
+
+func (m movedNode) CountPolling(now time.Time) (local, all int) {
+	if now.Before(m.since) {
+		return 0, 1
+	}
+	return 1, 1
+}
+
+func (m movedNode) PolledTime(now time.Time) time.Duration { return max(0, now.Sub(m.since)) }
+
+// Guards against a customer that gets its burst once more when a node moves to another control instance, such as after the loss of its own.
+func TestMovedNodeGetsNoSecondBurst(t *testing.T) {
+	const rate, burst = 40, 600
+	x := newCluster(rate, "a", "b")
+	x.nodes = 1
+	x.limit = figpier.NewLimit(figpier.LimitConfig{Rate: rate, Burst: burst})
+	began := x.now
+	moved := began.Add(40 * time.Second)
+	x.pools["a"].registry = movedNode{since: began}
+	x.pools["b"].registry = movedNode{since: moved}
+	x.now = began.Add(30 * time.Second)
+	x.requestTokens(t, 10*time.Second, "a")
+	delete(x.pools, "a")
+	x.requestTokens(t, 10*time.Second, "b")
+
+	share := quota.New(quota.Config{Window: window, OverageFraction: overage, SlackRequests: slack}).PoolShare(x.limit, 1, 1)
+	allowed := share * ((rate*window.Seconds()+burst)*(1+overage) + slack)
+	assert.Assert(t, float64(x.maxGrantedInWindow()) <= allowed, "%d of %v", x.maxGrantedInWindow(), allowed)
+	late := 0
+	for _, at := range x.grantedAt {
+		if at.After(moved) {
+			late++
+		}
+	}
+	assert.Assert(t, float64(late) > 0.9*share*rate*10 && float64(late) < share*rate*10+slack, "%d after the move", late)
+}
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -51,6 +51,9 @@
 	Start time.Time
 	// Credit makes buckets begin with a part of the allowed excess.
 	Credit bool
+	// Held returns the number of nodes that hold the share of this table at a time, and the time since Start for which nodes have held
+	// it, added up over the nodes. It is nil where the share was held by the same number all the time.
+	Held func(now time.Time) (nodes int, total time.Duration)
 }
 
 // Table holds a token bucket for each recently active customer. It is not safe for concurrent use.
@@ -67,6 +70,8 @@
 type bucket struct {
 	tokens  float64
 	updated time.Time
+	// held is the total of Config.Held as of updated.
+	held time.Duration
 	// demand is the exponentially decayed number of requests of the highest priority class, as of updated.
 	demand float64
 }
@@ -188,13 +193,28 @@
 		}
 	}
 	elapsed := max(0, now.Sub(b.updated).Seconds())
-	earned := l.Rate() * share * elapsed
+	earned := l.Rate() * share * t.earningSeconds(b, now)
 	b.demand *= math.Exp(-elapsed / demandTime.Seconds())
 	b.tokens = math.Min(t.maxTokens(l, share), b.tokens+earned)
 	b.updated = now
 	return b
 }
 
+// earningSeconds returns the time in seconds for which a share has earned tokens since the last update of a bucket. Nodes that have come
+// to this table meanwhile spent their part of the limit elsewhere before.
+func (t *Table) earningSeconds(b *bucket, now time.Time) float64 {
+	if t.config.Held == nil {
+		return max(0, now.Sub(b.updated).Seconds())
+	}
+	nodes, total := t.config.Held(now)
+	earned := total - b.held
+	b.held = total
+	if nodes == 0 {
+		return 0
+	}
+	return max(0, earned.Seconds()) / float64(nodes)
+}
+
 // maxTokens returns the number of tokens at which the bucket of a share is full.
 func (t *Table) maxTokens(l figpier.Limit, share float64) float64 {
 	return max(1, t.bucketDepth(l)*share)
