Found the log although a seed has lost its disk meanwhile

Cause: all seeds had to answer that they are founders, and one that lost its disk is none.

All seeds must still answer and belong to no log; most of them must be founders, and the lowest of these founds. A log that was founded before has all seeds as voters, and holds nothing before most of them have it on disk, so one of any majority of founders would belong to it.

--- a/internal/control/replica/join.go
+++ b/internal/control/replica/join.go
@@ -123,20 +123,31 @@
 	return l.machine.Cluster() == ""
 }
 
-// mayBootstrapFromSeeds reports whether all seeds answered that they may found a log and belong to none, and this instance has
-// the lowest address among them. An instance that lost its disk is not a founder, so that no second log is founded.
+// mayBootstrapFromSeeds reports whether this instance may found the log, by the answers of its seeds.
 func (l *Log) mayBootstrapFromSeeds(peers []peerStatus) bool {
 	seeds := figpier.NewSet(l.seeds.Seeds()...)
-	founders := l.seedPeers(peers)
-	if !seeds.Has(l.config.Address) || len(founders) != len(seeds.Values()) {
-		return false
-	}
-	for _, p := range founders {
-		if !p.founder || p.cluster != "" || p.member.Address() < l.config.Address {
+	return l.machine.Cluster() == "" && mayFound(l.config.Address, len(seeds.Values()), l.seedPeers(peers))
+}
+
+// mayFound reports whether all seeds answered that they belong to no log, most of them are founders, and the instance at an address has
+// the lowest address among these. An instance that lost its disk is not a founder. If a log had been founded before, most of its voters,
+// which were all seeds, would have it on disk before it holds anything; so one of the founders would belong to it, and there is no second
+// log as long as most seeds are founders.
+func mayFound(address string, seeds int, answers []peerStatus) bool {
+	founders, lowest := 0, ""
+	for _, p := range answers {
+		if p.cluster != "" {
 			return false
 		}
+		if !p.founder {
+			continue
+		}
+		founders++
+		if lowest == "" || p.member.Address() < lowest {
+			lowest = p.member.Address()
+		}
 	}
-	return l.machine.Cluster() == ""
+	return len(answers) == seeds && 2*founders > seeds && lowest == address
 }
 
 // seedPeers returns the peers whose address is that of a seed.
