Compare runs of a backend server by their start only while one is known

Beyond the expiry only announcements of the same run are compared now, by their number, and a deregistration covers the run that it names. The same holds for an announcement in doubt.

TestRunThatStartedEarlierByTheClockIsInUseAfterTheExpiry guards against it.

--- a/internal/traffic/upstream/doubt_test.go
+++ b/internal/traffic/upstream/doubt_test.go
@@ -208,3 +208,12 @@
 	r.announce(a)
 	assert.Assert(t, !r.inUse())
 }
+
+// Guards against a backend server that stays out of use because the clock was set back between its starts.
+func TestRunThatStartedEarlierByTheClockIsInUseAfterTheExpiry(t *testing.T) {
+	r := newRig(t, errUnhealthy)
+	r.announce(figpier.AnnouncementConfig{Incarnation: "a", Started: nodeStart.Add(time.Minute), Sequence: 7, Slots: 8})
+	r.upstream.HandleEvent(nodeStart, announcementExpired{sequence: 7})
+	r.announce(figpier.AnnouncementConfig{Incarnation: "a", Started: nodeStart.Add(time.Second), Sequence: 1, Slots: 8})
+	assert.Assert(t, r.inUse())
+}
--- a/internal/traffic/upstream/event.go
+++ b/internal/traffic/upstream/event.go
@@ -83,7 +83,7 @@
 
 // onAnnounced applies an announcement unless a newer one has been applied or it is in doubt.
 func (u *Upstream) onAnnounced(a figpier.Announcement) {
-	if u.ordered(a) && outdated(a, u.newest) {
+	if u.known && outdated(a, u.newest) || repeated(a, u.newest) || repeated(a, u.doubted) {
 		u.logEntry(a).Info("ignored an outdated announcement of the backend server")
 		return
 	}
@@ -92,9 +92,6 @@
 		return
 	}
 	if u.inDoubt(a) {
-		if outdated(a, u.doubted) {
-			return
-		}
 		u.logEntry(a).Info("the backend server may have left before the node started: waiting for a sign that it runs")
 		u.doubted = a
 		u.check(a)
@@ -103,9 +100,12 @@
 	u.apply(a)
 }
 
-// ordered reports whether an announcement can be compared with the newest one, also after that has expired. A run without a start time
-// can't be told from a later one of the same name.
-func (u *Upstream) ordered(a figpier.Announcement) bool { return u.known || !a.Started().IsZero() }
+// repeated reports whether an announcement is not newer than another one of the same run. Unlike outdated it holds for good: the start
+// times of different runs may be out of order after a change of the clock, so they are compared only until the newest one expires. A run
+// without a start time can't be told from a later one of the same name.
+func repeated(a, other figpier.Announcement) bool {
+	return !a.Started().IsZero() && sameIncarnation(a, other) && a.Sequence() <= other.Sequence()
+}
 
 // inDoubt reports whether an announcement may be a late one of a run that deregistered at a previous start of the node, which left no
 // trace here. A later announcement of the same run removes the doubt, as does any announcement of a drain.
@@ -113,12 +113,17 @@
 	switch {
 	case a.Draining() || a.Started().After(u.started.Add(-startMargin)):
 		return false
-	case u.ordered(a) && sameIncarnation(a, u.newest):
+	case u.inOrder(a):
 		return false
 	}
 	return !sameIncarnation(a, u.doubted) || a.Sequence() <= u.doubted.Sequence()
 }
 
+// inOrder reports whether an announcement continues the run of the newest one, which may have expired.
+func (u *Upstream) inOrder(a figpier.Announcement) bool {
+	return sameIncarnation(a, u.newest) && (u.known || !a.Started().IsZero())
+}
+
 // check starts a health check of the backend server for an announcement that is in doubt. It does nothing while the node doesn't know
 // the path of the check.
 func (u *Upstream) check(a figpier.Announcement) {
@@ -159,7 +164,7 @@
 // apply puts an announcement in use. A new incarnation starts without slots or drain state of the previous one.
 func (u *Upstream) apply(a figpier.Announcement) {
 	u.doubted = figpier.Announcement{}
-	if !u.ordered(a) || !sameIncarnation(a, u.newest) {
+	if !u.inOrder(a) {
 		u.logEntry(a).Info("the backend server announced itself")
 		u.cancelNotice()
 		u.draining, u.drained = false, false
@@ -191,24 +196,25 @@
 	return a.Incarnation() == b.Incarnation() && a.Started().Equal(b.Started())
 }
 
-// departure is the end of all runs of an incarnation that had started by a time.
+// departure is the deregistration of a run of the backend server, or of all runs of its name where it gives no start time.
 type departure struct {
 	incarnation string
-	startedBy   time.Time
+	started     time.Time
+	at          time.Time
 }
 
 // covers reports whether an announcement comes from a run that has left. One without a start time may come from a later run.
 func (d departure) covers(a figpier.Announcement) bool {
-	return a.Incarnation() == d.incarnation && !a.Started().IsZero() && !a.Started().After(d.startedBy)
+	if a.Incarnation() != d.incarnation || a.Started().IsZero() {
+		return false
+	}
+	return a.Started().Equal(d.started) || d.started.IsZero() && !a.Started().After(d.at)
 }
 
 // onWithdrawn starts the drain if the withdrawal is for the current run of the backend server. It remembers a run that the node has not
 // heard of or has in doubt, so that late announcements don't bring it back.
 func (u *Upstream) onWithdrawn(now time.Time, e withdrawn) {
-	u.left = departure{incarnation: e.incarnation, startedBy: e.started}
-	if e.started.IsZero() {
-		u.left.startedBy = now
-	}
+	u.left = departure{incarnation: e.incarnation, started: e.started, at: now}
 	if e.incarnation == u.doubted.Incarnation() {
 		u.doubted = figpier.Announcement{}
 	}
