Answer that a node is not ready while it starts

What callers saw: a readiness check in the first milliseconds of a node gets a closed connection.

Cause: the listener for readiness checks starts before the service that answers them, which is registered last to be the first to stop; before its start it has no view. An atomic flag now tells that the start has ended, and a node without it is not ready.

TestNodeThatIsStartingIsNotReady failed before with a nil pointer.

--- a/internal/traffic/stopping/stopper.go
+++ b/internal/traffic/stopping/stopper.go
@@ -34,6 +34,8 @@
 	ending  context.Context
 	// endRequests ends the context ending with a refusal as its cause.
 	endRequests context.CancelCauseFunc
+	// started is set once the fields above may be read: listeners start before this service.
+	started atomic.Bool
 	// schedule is nil until the stop begins.
 	schedule atomic.Pointer[shutdown.Schedule]
 
@@ -62,6 +64,7 @@
 		return err
 	}
 	context.AfterFunc(ctx, s.endAll)
+	s.started.Store(true)
 	s.config.Log.Info("started")
 	return nil
 }
@@ -69,9 +72,9 @@
 // endAll ends the requests in flight.
 func (s *Stopper) endAll() { s.endRequests(figpier.Refuse(figpier.RefusalStopping)) }
 
-// Ready implements figpier.Readiness: a node is ready while it has a routing table and a fresh view, and is not stopping.
+// Ready implements figpier.Readiness: a node is ready while it has a routing table and a fresh view, and is not starting or stopping.
 func (s *Stopper) Ready() bool {
-	return !s.Leaving() && s.view.Configuration().Table() != nil && s.view.Fresh(s.clock.Now())
+	return s.started.Load() && !s.Leaving() && s.view.Configuration().Table() != nil && s.view.Fresh(s.clock.Now())
 }
 
 // Leaving implements figpier.Readiness.
