--- a/review/testdata/second/rig/fleet.go
+++ b/review/testdata/second/rig/fleet.go
@@ -325,3 +325,28 @@
 func (n *Node) ReadinessURL() string {
 	return "http://" + net.JoinHostPort(n.Address, readinessPort) + "/figpier/readiness"
 }
+
+// Memory returns the memory that the process has allocated and holds, in bytes, and false if it does not run.
+func (p *Process) Memory() (int64, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return 0, false
+	}
+	select {
+	case <-p.exited:
+		return 0, false
+	default:
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return 0, false
+	}
+	for line := range strings.Lines(string(status)) {
+		var kilobytes int64
+		if n, _ := fmt.Sscanf(line, "RssAnon: %d kB", &kilobytes); n == 1 {
+			return kilobytes << 10, true
+		}
+	}
+	return 0, false
+}
