Refuse answers without a final status

What callers saw: a closed connection for an answer with status 000 at its server's node, 101 passed on as the answer, and 503 for a request that may have run where such an answer claimed that it has not.

Cause: net/http takes any three digits as a status. Nothing checked it where answers come in; WriteHeader panics for a status below 100.

Mend: both readers of a backend server's answer refuse a status below 200 before they believe anything else of it: 502, may have run.

--- a/internal/link/web/relay.go
+++ b/internal/link/web/relay.go
@@ -105,11 +105,11 @@
 	return allowed
 }
 
-// HasDetectableEnd reports whether an answer is final and its end can be distinguished from a broken connection.
+// IsFinal reports whether a status is that of a final answer. A server in trouble may send any three digits, which net/http accepts.
+func IsFinal(status int) bool { return status >= minFinalStatus }
+
+// HasDetectableEnd reports whether the end of an answer can be distinguished from a broken connection.
 func HasDetectableEnd(answer *http.Response) bool {
-	if answer.StatusCode < minFinalStatus {
-		return false
-	}
 	return answer.ProtoMajor > 1 || answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
 }
 
--- a/internal/traffic/backend/serve.go
+++ b/internal/traffic/backend/serve.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// roundTrip sends a request and returns its answer. It refuses an answer that names another request, and one with neither a length
-// nor chunks, as the end of such an answer can't be distinguished from a broken connection.
+// roundTrip sends a request and returns its answer. It refuses an answer that names another request, one without a final status, and one
+// with neither a length nor chunks, as the end of such an answer can't be distinguished from a broken connection.
 func (s *Server) roundTrip(out *http.Request) (*http.Response, error) {
 	answer, err := s.transport.RoundTrip(out)
 	if err != nil {
@@ -67,6 +67,10 @@
 		s.transport.CloseIdleConnections()
 		return nil, figpier.Refuse(figpier.RefusalAnswerBroken)
 	}
+	if !web.IsFinal(answer.StatusCode) {
+		_ = answer.Body.Close()
+		return nil, figpier.Refuse(figpier.RefusalAnswerBroken)
+	}
 	if out.Method != http.MethodHead && !web.HasDetectableEnd(answer) {
 		_ = answer.Body.Close()
 		return nil, Error.New("the answer states neither a length nor chunks")
--- a/internal/traffic/delivery/deliver.go
+++ b/internal/traffic/delivery/deliver.go
@@ -129,6 +129,9 @@
 		b.release(k)
 		return nil, figpier.Refuse(r)
 	}
+	if !web.IsFinal(response.StatusCode) {
+		return refuse(figpier.OutcomeFailed, figpier.RefusalAnswerBroken)
+	}
 	switch b.server.dialect.Classify(response.StatusCode, response.Header, b.call) {
 	case figpier.VerdictFull:
 		return refuse(figpier.OutcomeOverloaded, figpier.RefusalBackendFull)
--- a/test/path/not_run_test.go
+++ b/test/path/not_run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -106,6 +107,26 @@
 	}
 }
 
+// TestAnswerWithoutFinalStatusFails guards against an answer with a status such as 000, also to a HEAD request, that ends the caller's
+// connection or is taken for a refusal.
+func TestAnswerWithoutFinalStatusFails(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodHead} {
+		t.Run(method, func(t *testing.T) {
+			n := newNode(t, newView(0, "a"), "a").serve(func(w http.ResponseWriter, r *http.Request) {
+				c, buffer, err := http.NewResponseController(w).Hijack()
+				assert.Check(t, err)
+				_, _ = fmt.Fprintf(buffer, "HTTP/1.1 000 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+					figpier.HeaderRequestID, r.Header.Get(figpier.HeaderRequestID), figpier.HeaderNotRun, figpier.NotRunMark)
+				_ = buffer.Flush()
+				_ = c.Close()
+			})
+			p := mustSend(t, newClient(t, false), n.request(method, "/x", nil))
+			assert.Equal(t, p.status, http.StatusBadGateway)
+			assert.Assert(t, !p.notRun())
+		})
+	}
+}
+
 func TestNotRunMarkIsDroppedWhenTheRequestMayHaveRun(t *testing.T) {
 	v := newView(0, "a", "b")
 	a := newNode(t, v, "a")
