--- a/internal/host/memory/memory.go
+++ b/internal/host/memory/memory.go
@@ -28,7 +28,7 @@
 type Config struct {
 	// Bytes is the memory that the process may use, 0 for the limit in GOMEMLIMIT or else a default.
 	Bytes int64
-	// Log receives a line when no memory is left, at most one each logInterval. It is optional.
+	// Log receives a line at the start, and one when no memory is left, at most once each logInterval. It is optional.
 	Log *logrus.Entry
 }
 
@@ -70,6 +70,10 @@
 	if b.config.Bytes > 0 {
 		debug.SetMemoryLimit(heapBytes(b.config))
 	}
+	if b.config.Log != nil {
+		b.config.Log.WithFields(logrus.Fields{"memory": b.config.Bytes, "heap": heapBytes(b.config), "requests": b.total}).
+			Info("bounding the memory of requests; a memory of 0 is not told by the settings")
+	}
 	counters, err := figpier.FindCounters(d)
 	if err != nil {
 		return err
--- a/internal/host/settings/read.go
+++ b/internal/host/settings/read.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -81,6 +82,7 @@
 		Metrics:    r.readListenAddress(o.Optional("metrics"), anyAddress),
 	}
 	s.PrivateNetwork = o.Optional("privateNetwork").Bool()
+	s.Memory = memoryOfEnvironment()
 	if f := o.Optional("memory"); f.IsSet() {
 		s.Memory = int(f.Integer(minMemory, maxMemory))
 	}
@@ -104,6 +106,15 @@
 	return s
 }
 
+// memoryOfEnvironment returns the megabytes in MemoryVariable, or 0 where it has no usable number: a process must start without it.
+func memoryOfEnvironment() int {
+	megabytes, err := strconv.ParseFloat(os.Getenv(MemoryVariable), 64)
+	if err != nil || !(megabytes >= minMemory && megabytes <= maxMemory) {
+		return 0
+	}
+	return int(megabytes)
+}
+
 // readTLS reads the section "tls".
 func (r *reader) readTLS(o *jsonc.Object) *TLSSettings {
 	s := &TLSSettings{
--- a/internal/host/settings/settings.go
+++ b/internal/host/settings/settings.go
@@ -12,6 +12,9 @@
 // PathVariable is the environment variable with the path of the settings file, which applies if no flag sets it.
 const PathVariable = "FIGPIER_CONFIG"
 
+// MemoryVariable is the environment variable with the memory of the process in megabytes, which applies if the file does not tell it.
+const MemoryVariable = "FIGPIER_MEMORY"
+
 // Duration is an optional duration, 0 if the file lacks it.
 type Duration time.Duration
 
--- a/internal/host/settings/settings_test.go
+++ b/internal/host/settings/settings_test.go
@@ -146,3 +146,32 @@
 		assert.Assert(t, s.Node() != nil || s.Control() != nil)
 	})
 }
+
+func TestMemoryComesFromTheFileOrTheEnvironment(t *testing.T) {
+	text := func(memory string) string {
+		return `{"instance": "c1", "dataCentre": "a", "region": "r", "messages": "127.0.0.1:7001"` + memory + `,
+			"control": {"dataFolder": "data", "operators": "127.0.0.1:7006", "operatorTokens": "tokens",
+			"replicas": [{"instance": "c1", "address": "127.0.0.1:7001"}]}}`
+	}
+	for _, tt := range []struct {
+		environment, file string
+		want              int
+	}{
+		{"284", "", 284},
+		{"284.5", "", 284},
+		{"284", `, "memory": 128`, 128},
+		{"", "", 0},
+		{"many", "", 0},
+		{"-1", "", 0},
+		{"NaN", "", 0},
+		{"1e300", "", 0},
+		{"", `, "memory":`, 0},
+	} {
+		t.Setenv(MemoryVariable, tt.environment)
+		s, err := Parse("settings.jsonc", []byte(text(tt.file)))
+		assert.NilError(t, err)
+		assert.Equal(t, s.Memory(), tt.want, "%q %q", tt.environment, tt.file)
+	}
+	_, err := Parse("settings.jsonc", []byte(text(`, "memory": 1`)))
+	assert.ErrorContains(t, err, "memory")
+}
