Believe a run in doubt only by its health check or after a while

Cause: the announcement with the next number counted as proof that a run goes on, though the health check had just said the opposite.

Mend: a run in doubt needs a health check, repeated at each announcement, or must have announced itself for the time after which announcements expire (15 s), longer than one may be late. A check that succeeds counts for the newest announcement.

TestBackendServerIsInUseAfterARestartOfItsNode asserted the fault (in use at the next announcement of an unhealthy server); the case is replaced by three: after 15 s, by the check of the next announcement, and by a check beside it.

--- a/internal/traffic/upstream/doubt_test.go
+++ b/internal/traffic/upstream/doubt_test.go
@@ -18,6 +18,9 @@
 	longAgo   = nodeStart.Add(-time.Minute)
 )
 
+// announcementTimeout is the age at which announcements expire.
+const announcementTimeout = 15 * time.Second
+
 // openControl implements figpier.ControlThread without timers. It sends posted events to a channel.
 type openControl struct {
 	events chan figpier.Event
@@ -78,7 +81,7 @@
 	service := figpier.NewTableService(figpier.TableServiceConfig{Name: "litters", HealthPath: "/health"})
 	r := &rig{
 		t:        t,
-		upstream: New(Config{Address: "backend", Member: figpier.MemberConfig{Service: "litters"}, Log: l}),
+		upstream: New(Config{Address: "backend", AnnouncementTimeout: announcementTimeout, Member: figpier.MemberConfig{Service: "litters"}, Log: l}),
 		view:     &tableView{table: figpier.NewTable(figpier.TableConfig{Services: []*figpier.TableService{service}})},
 		health:   fixedHealth{err: health, paths: make(chan string, 1)},
 		events:   make(chan figpier.Event, 1),
@@ -89,8 +92,10 @@
 	return r
 }
 
-func (r *rig) announce(c figpier.AnnouncementConfig) {
-	r.upstream.HandleEvent(nodeStart, announced{announcement: figpier.NewAnnouncement(c), done: make(chan struct{})})
+func (r *rig) announce(c figpier.AnnouncementConfig) { r.announceAt(nodeStart, c) }
+
+func (r *rig) announceAt(now time.Time, c figpier.AnnouncementConfig) {
+	r.upstream.HandleEvent(now, announced{announcement: figpier.NewAnnouncement(c), done: make(chan struct{})})
 }
 
 func (r *rig) withdraw(incarnation string, started time.Time) {
@@ -129,6 +134,20 @@
 	assert.Assert(t, !r.inUse(), "of another writer, without a start time")
 }
 
+// Guards against a deregistered backend server that is in use again because two late heartbeats came in their order after a restart of
+// its node.
+func TestLateHeartbeatsInTheirOrderDoNotBringTheBackendServerBack(t *testing.T) {
+	r := newRig(t, errUnhealthy)
+	a := figpier.AnnouncementConfig{Incarnation: "a", Started: longAgo, Sequence: 7, Slots: 8}
+	for late := time.Duration(0); late < announcementTimeout; late += 1500 * time.Millisecond {
+		r.announceAt(nodeStart.Add(late), a)
+		assert.Assert(t, !r.inUse(), "%s after the first", late)
+		r.awaitCheck()
+		assert.Assert(t, !r.inUse(), "%s after the first", late)
+		a.Sequence++
+	}
+}
+
 func TestBackendServerIsInUseAfterARestartOfItsNode(t *testing.T) {
 	first := figpier.AnnouncementConfig{Incarnation: "a", Started: longAgo, Sequence: 7, Slots: 8}
 	next := first
@@ -140,19 +159,33 @@
 		r.awaitCheck()
 		assert.Assert(t, r.inUse())
 	})
-	t.Run("at the next announcement", func(t *testing.T) {
+	t.Run("once it has announced itself for longer than announcements may be late", func(t *testing.T) {
 		r := newRig(t, errUnhealthy)
 		r.announce(first)
 		r.awaitCheck()
-		r.announce(next)
+		r.announceAt(nodeStart.Add(announcementTimeout), next)
 		assert.Assert(t, r.inUse())
 	})
-	t.Run("at the next announcement, before the node has a table", func(t *testing.T) {
+	t.Run("once a health check confirms the next announcement, where the node had no table at the first", func(t *testing.T) {
 		r := newRig(t, nil)
+		table := r.view.table
 		r.view.table = nil
 		r.announce(first)
+		r.view.table = table
+		r.announce(next)
+		assert.Assert(t, !r.inUse())
+		r.awaitCheck()
+		assert.Assert(t, r.inUse())
+	})
+	t.Run("once a health check confirms it, beside the next announcement", func(t *testing.T) {
+		r := newRig(t, nil)
+		r.announce(first)
+		result := <-r.events
+		assert.Equal(t, <-r.health.paths, "/health")
 		r.announce(next)
+		r.upstream.HandleEvent(nodeStart, result)
 		assert.Assert(t, r.inUse())
+		assert.Equal(t, r.upstream.newest.Sequence(), next.Sequence)
 	})
 	for name, started := range map[string]time.Time{"both started together": nodeStart.Add(-startMargin / 2), "it started later": nodeStart.Add(time.Minute)} {
 		t.Run("at once where "+name, func(t *testing.T) {
--- a/internal/traffic/upstream/event.go
+++ b/internal/traffic/upstream/event.go
@@ -62,7 +62,7 @@
 	switch e := e.(type) {
 	case announced:
 		defer close(e.done)
-		u.onAnnounced(e.announcement)
+		u.onAnnounced(now, e.announcement)
 	case checked:
 		u.onChecked(e.announcement)
 	case withdrawn:
@@ -82,7 +82,7 @@
 }
 
 // onAnnounced applies an announcement unless a newer one has been applied or it is in doubt.
-func (u *Upstream) onAnnounced(a figpier.Announcement) {
+func (u *Upstream) onAnnounced(now time.Time, a figpier.Announcement) {
 	if u.known && outdated(a, u.newest) || repeated(a, u.newest) || repeated(a, u.doubted) {
 		u.logEntry(a).Info("ignored an outdated announcement of the backend server")
 		return
@@ -91,8 +91,11 @@
 		u.logEntry(a).Info("ignored a late announcement of a backend server that has deregistered")
 		return
 	}
-	if u.inDoubt(a) {
+	if u.inDoubt(now, a) {
 		u.logEntry(a).Info("the backend server may have left before the node started: waiting for a sign that it runs")
+		if !sameIncarnation(a, u.doubted) {
+			u.doubtedSince = now
+		}
 		u.doubted = a
 		u.check(a)
 		return
@@ -108,15 +111,15 @@
 }
 
 // inDoubt reports whether an announcement may be a late one of a run that deregistered at a previous start of the node, which left no
-// trace here. A later announcement of the same run removes the doubt, as does any announcement of a drain.
-func (u *Upstream) inDoubt(a figpier.Announcement) bool {
+// trace here. Announcements of a drain are never in doubt, nor is a run that has announced itself for so long that none can be late.
+func (u *Upstream) inDoubt(now time.Time, a figpier.Announcement) bool {
 	switch {
 	case a.Draining() || a.Started().After(u.started.Add(-startMargin)):
 		return false
 	case u.inOrder(a):
 		return false
 	}
-	return !sameIncarnation(a, u.doubted) || a.Sequence() <= u.doubted.Sequence()
+	return !sameIncarnation(a, u.doubted) || now.Sub(u.doubtedSince) < u.config.AnnouncementTimeout
 }
 
 // inOrder reports whether an announcement continues the run of the newest one, which may have expired.
@@ -154,10 +157,10 @@
 	return ""
 }
 
-// onChecked applies an announcement that is no longer in doubt, unless another one has come meanwhile.
+// onChecked applies the newest announcement of a run that is no longer in doubt, unless the run has left or another one has come meanwhile.
 func (u *Upstream) onChecked(a figpier.Announcement) {
-	if sameIncarnation(a, u.doubted) && a.Sequence() == u.doubted.Sequence() {
-		u.apply(a)
+	if sameIncarnation(a, u.doubted) {
+		u.apply(u.doubted)
 	}
 }
 
--- a/internal/traffic/upstream/upstream.go
+++ b/internal/traffic/upstream/upstream.go
@@ -57,6 +57,8 @@
 	newest figpier.Announcement
 	// doubted is the newest announcement that is neither confirmed nor in use.
 	doubted figpier.Announcement
+	// doubtedSince is when the first announcement of the run of doubted came.
+	doubtedSince time.Time
 	// left is the run that deregistered last.
 	left departure
 	// known means that newest has not expired.
