--- a/internal/link/web/account.go
+++ b/internal/link/web/account.go
@@ -115,7 +115,6 @@
 		defer a.release()
 		if c.readsHeads && r.ProtoMajor == 1 {
 			c.beginRequest()
-			defer c.endRequest()
 		} else if !a.add(headerBytes(r.Header)) {
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/link/web/account_test.go
+++ b/internal/link/web/account_test.go
@@ -129,6 +129,7 @@
 		"pipelined":  oddRequest("/", 20) + oddRequest("/", 2000),
 		"malformed":  "GET\r\n" + oddRequest("/", 2000),
 		"body":       fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body) + oddRequest("/", 2000),
+		"split":      "GET / HTTP/1.1\r\nHost: a\r\nA: b\r\n \n" + strings.Repeat("a:\n", 2000) + "\r\n",
 		"trailer":    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n" + strings.Repeat("a:\n", 1000) + "\r\n",
 		"given up":   oddRequest("/hold", 2000),
 	}
@@ -194,3 +195,37 @@
 	a.release()
 	assert.Equal(t, m.used.Load(), int64(0))
 }
+
+// TestUnreadBodyIsNoHead guards against a client whose connection is closed, or whose next request needs a reservation, because the rest of a
+// body that a handler did not read counts as a head.
+func TestUnreadBodyIsNoHead(t *testing.T) {
+	m := &limitedMemory{}
+	s, err := Listen(t.Context(), ServerConfig{
+		Address: "127.0.0.1:0",
+		Memory:  m,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }),
+	})
+	assert.NilError(t, err)
+	c := dialCounted(t, s)
+	body := strings.Repeat("a line of a text that is sent to nobody\n", 5000)
+	for range 3 {
+		text := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		assert.DeepEqual(t, exchangeText(t, c, text, 1), []int{http.StatusTooManyRequests})
+	}
+}
+
+// TestHeadEndsAtABlankLineOnly guards against heads that are counted in part because a line of one space came in two pieces.
+func TestHeadEndsAtABlankLineOnly(t *testing.T) {
+	pieces := []string{"GET / HTTP/1.1\r", "\n", "A: b\n", " ", "\n", "\t", "\r\n", "a", "\n"}
+	for _, end := range [][]string{{"\r\n"}, {"\r", "\n"}, {"\n"}} {
+		c := &serverConn{account: account{memory: &limitedMemory{}}, inHead: true}
+		for _, piece := range pieces {
+			assert.Assert(t, c.count([]byte(piece)))
+			assert.Assert(t, c.inHead, "after %q", piece)
+		}
+		for _, piece := range end {
+			assert.Assert(t, c.count([]byte(piece)))
+		}
+		assert.Assert(t, !c.inHead, "after %q", end)
+	}
+}
--- a/internal/link/web/server.go
+++ b/internal/link/web/server.go
@@ -205,6 +205,7 @@
 	return &http.Server{
 		Handler:           countRequests(c.Handler),
 		ConnContext:       withConn,
+		ConnState:         followConnState,
 		TLSConfig:         c.TLS,
 		Protocols:         p,
 		ReadHeaderTimeout: positiveOr(l.config.HeaderTimeout, readHeaderTimeout),
--- a/internal/link/web/server_conn.go
+++ b/internal/link/web/server_conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/http"
 	"sync"
 )
 
@@ -27,9 +28,12 @@
 	readsHeads bool
 
 	mu sync.Mutex // guards the fields below
-	// inHead means that the next byte belongs to a head, of which line bytes of the current line have been read.
+	// inHead means that the next byte belongs to a head.
 	inHead bool
-	line   int
+	// lineText means that the current line of the head has bytes other than its end.
+	lineText bool
+	// served means that a handler has begun since the connection was last idle.
+	served bool
 	// head is the estimate for the head.
 	head int64
 	// ahead is the estimate for lines that have been read beyond the head, in the last aheadBytes bytes.
@@ -80,16 +84,16 @@
 // countHead adds the bytes that belong to the head, and returns those behind its end.
 func (c *serverConn) countHead(p []byte) (rest []byte) {
 	for len(p) > 0 {
-		end := bytes.IndexByte(p, '\n')
-		if end < 0 {
-			c.head += int64(len(p))
-			c.line += len(p)
+		line, next, ended := bytes.Cut(p, []byte{'\n'})
+		c.head += int64(len(p) - len(next))
+		c.lineText = c.lineText || len(line) > 0 && string(line) != "\r"
+		if !ended {
 			return nil
 		}
-		c.head += int64(end + 1 + headerLineBytes)
-		blank := c.line+end == 0 || c.line+end == 1 && (end == 0 || p[0] == '\r')
-		c.line = 0
-		p = p[end+1:]
+		c.head += headerLineBytes
+		blank := !c.lineText
+		c.lineText = false
+		p = next
 		if blank {
 			c.inHead = false
 			return p
@@ -110,20 +114,34 @@
 	}
 }
 
-// beginRequest notes that a head has been read to its end.
+// beginRequest notes that a head has been read to its end, and that a handler begins.
 func (c *serverConn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inHead = false
+	c.inHead, c.served = false, true
 }
 
-// endRequest notes that the request has been served. What was read beyond it may be the beginning of the next head.
+// endRequest notes that the connection waits for the next request. What was read beyond the last one may be the beginning of its head.
 func (c *serverConn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.served {
+		return
+	}
 	c.account.add(-c.head)
 	c.head, c.ahead, c.aheadBytes = c.ahead, 0, 0
-	c.inHead, c.line = true, 0
+	c.inHead, c.lineText, c.served = true, false, false
+}
+
+// followConnState ends the request of a connection that has become idle. Until then net/http may still discard the rest of its body, which
+// is no head.
+func followConnState(c net.Conn, s http.ConnState) {
+	if s != http.StateIdle {
+		return
+	}
+	if counted, ok := c.(*serverConn); ok {
+		counted.endRequest()
+	}
 }
 
 // connKey is the key of the connection in the contexts of its requests.
