Keep the headers that a node has set when it copies a server's

Found by reading the bound on the memory of requests: since it, headers named as connection options were deleted from the answer that a node writes, also those that the node had set, such as the one that closes the connection. Only the product's own listeners write into such an answer; on the platform, headers are copied into a new map, for which nothing changes.

Options that name no header are passed over, so that a list of thousands takes no memory.

--- a/internal/link/web/headers.go
+++ b/internal/link/web/headers.go
@@ -17,17 +17,22 @@
 // CopyEndToEnd copies headers except for the hop-by-hop headers, including those that the Connection header names, and the
 // headers that only the system may set. The copies share their values, which must not change.
 func CopyEndToEnd(to, from http.Header) {
-	for name, values := range from {
-		if !figpier.ReservedHeader(name) {
-			to[name] = values
-		}
-	}
+	dropped := map[string]bool{}
 	for _, name := range hopByHopHeaders {
-		delete(to, name)
+		dropped[name] = true
 	}
 	for _, list := range from["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			delete(to, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		for token := range strings.SplitSeq(list, ",") {
+			name := textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(token))
+			// A list may name thousands of headers that are not there.
+			if _, present := from[name]; present {
+				dropped[name] = true
+			}
+		}
+	}
+	for name, values := range from {
+		if !dropped[name] && !figpier.ReservedHeader(name) {
+			to[name] = values
 		}
 	}
 }
