--- a/internal/command/root/root_test.go
+++ b/internal/command/root/root_test.go
@@ -24,6 +24,7 @@
 	"github.com/figpier/figpier/internal/control/catalog"
 	"github.com/figpier/figpier/internal/control/operator"
 	"github.com/figpier/figpier/internal/control/replica"
+	"github.com/figpier/figpier/internal/host/memory"
 	"github.com/figpier/figpier/internal/kernel/registry"
 	"github.com/figpier/figpier/internal/kernel/system"
 	"github.com/figpier/figpier/internal/link/jsonrpc"
@@ -67,6 +68,7 @@
 	log := replica.New(replica.Config{Instance: "control-1", DataFolder: t.TempDir()})
 	store := catalog.New()
 	log.SetStateMachine(store)
+	assert.NilError(t, k.Register(memory.New(memory.Config{})))
 	assert.NilError(t, k.Register(jsonrpc.New(jsonrpc.Config{AnswerTimeout: time.Second})))
 	assert.NilError(t, k.Register(log))
 	assert.NilError(t, k.Register(store))
--- a/internal/control/operator/server.go
+++ b/internal/control/operator/server.go
@@ -51,10 +51,15 @@
 		reader: newReader(s.config.Instance, c, d),
 		log:    s.config.Log,
 	}
+	memory, err := figpier.FindRequestMemory(d)
+	if err != nil {
+		return err
+	}
 	s.listener, err = web.Listen(ctx, web.ServerConfig{
 		Address: s.config.Address,
 		TLS:     s.config.TLS,
 		Handler: newHandler(service, s.config.Tokens),
+		Memory:  memory,
 	})
 	return err
 }
--- /dev/null
+++ b/internal/host/memory/doc.go
@@ -0,0 +1,2 @@
+// Package memory keeps a process within the memory that it may use.
+package memory
--- a/internal/host/metrics/server.go
+++ b/internal/host/metrics/server.go
@@ -38,11 +38,15 @@
 func (s *Server) Name() figpier.ServiceName { return figpier.CounterService }
 
 // Start implements figpier.Service.
-func (s *Server) Start(ctx context.Context, _ figpier.Directory) error {
+func (s *Server) Start(ctx context.Context, d figpier.Directory) error {
 	if s.address == "" {
 		return nil
 	}
-	l, err := web.Listen(ctx, web.ServerConfig{Address: s.address, TLS: s.security, Handler: s})
+	memory, err := figpier.FindRequestMemory(d)
+	if err != nil {
+		return err
+	}
+	l, err := web.Listen(ctx, web.ServerConfig{Address: s.address, TLS: s.security, Handler: s, Memory: memory})
 	if err != nil {
 		return err
 	}
--- a/internal/host/process/control.go
+++ b/internal/host/process/control.go
@@ -58,6 +58,7 @@
 	})
 	log.SetStateMachine(statemachines.New(statemachines.Config{Catalog: states, Shards: assigner}))
 	return k, registerAll(k,
+		newMemoryBound(s, l),
 		metrics.New(metrics.Config{Address: s.Metrics(), TLS: security.Public()}),
 		jsonrpc.New(messengerConfig(s, security)),
 		log,
--- a/internal/host/process/mesh.go
+++ b/internal/host/process/mesh.go
@@ -100,6 +100,7 @@
 	logPropagation(m, l)
 	return k, registerAll(k,
 		logs.NewRequests(l),
+		newMemoryBound(s, l),
 		metrics.New(metrics.Config{Address: s.Metrics()}),
 		seeds.New(seeds.Config{Path: s.Path(), Seeds: m.Seeds, Read: seedAddresses, Log: l}),
 		jsonrpc.New(jsonrpc.Config{AnswerTimeout: defaultAnswerTimeout}),
@@ -226,6 +227,7 @@
 	states := catalog.New()
 	log.SetStateMachine(states)
 	return k, registerAll(k,
+		newMemoryBound(s, l),
 		metrics.New(metrics.Config{Address: s.Metrics()}),
 		seeds.New(seeds.Config{Path: s.Path(), Seeds: c.Seeds, Read: seedAddresses, Log: l}),
 		jsonrpc.New(jsonrpc.Config{Address: s.Messages(), AnswerTimeout: defaultAnswerTimeout, Compress: true}),
--- a/internal/host/process/node.go
+++ b/internal/host/process/node.go
@@ -8,6 +8,7 @@
 	"github.com/figpier/figpier"
 	"github.com/figpier/figpier/internal/host/certificate"
 	"github.com/figpier/figpier/internal/host/logs"
+	"github.com/figpier/figpier/internal/host/memory"
 	"github.com/figpier/figpier/internal/host/metrics"
 	"github.com/figpier/figpier/internal/host/settings"
 	"github.com/figpier/figpier/internal/kernel/registry"
@@ -75,6 +76,7 @@
 	exits := exit.New(exit.Config{TLS: security.PeerClient(), PingAfter: defaultPingAfter})
 	return k, registerAll(k,
 		logs.NewRequests(l),
+		newMemoryBound(s, l),
 		metrics.New(metrics.Config{Address: s.Metrics(), TLS: security.Public()}),
 		jsonrpc.New(messengerConfig(s, security)),
 		configview.New(configview.Config{
@@ -155,6 +157,11 @@
 	}
 }
 
+// newMemoryBound returns the bound on the memory of a process.
+func newMemoryBound(s *settings.Settings, l *logrus.Entry) *memory.Bound {
+	return memory.New(memory.Config{Bytes: int64(s.Memory()) << 20, Log: l})
+}
+
 // registerAll registers services in the order in which they start.
 func registerAll(k *registry.Kernel, services ...figpier.Service) error {
 	for _, s := range services {
--- a/internal/host/settings/read.go
+++ b/internal/host/settings/read.go
@@ -18,6 +18,8 @@
 	maxFreshness    = 4 * time.Second
 	maxAnnouncement = time.Minute
 	maxDuration     = time.Hour
+	minMemory       = 32      // megabytes
+	maxMemory       = 1 << 20 // megabytes
 )
 
 var logLevels = []string{"error", "warn", "info", "debug"}
@@ -79,6 +81,9 @@
 		Metrics:    r.readListenAddress(o.Optional("metrics"), anyAddress),
 	}
 	s.PrivateNetwork = o.Optional("privateNetwork").Bool()
+	if f := o.Optional("memory"); f.IsSet() {
+		s.Memory = int(f.Integer(minMemory, maxMemory))
+	}
 	if f := o.Optional("tls"); f.IsSet() {
 		s.TLS = r.readTLS(f.Object())
 	}
--- a/internal/host/settings/settings.go
+++ b/internal/host/settings/settings.go
@@ -37,6 +37,7 @@
 	LogLevel       string
 	Messages       string
 	Metrics        string
+	Memory         int
 	TLS            *TLSSettings
 	PrivateNetwork bool
 	Node           *NodeSettings
@@ -170,6 +171,9 @@
 // Metrics returns the IP address and port of the metrics endpoint, empty for none.
 func (s *Settings) Metrics() string { return s.processSettings.Metrics }
 
+// Memory returns the memory of the process in megabytes, 0 if it is not told.
+func (s *Settings) Memory() int { return s.processSettings.Memory }
+
 // TLS returns the files for TLS, nil if connections are not encrypted.
 func (s *Settings) TLS() *TLSSettings { return s.processSettings.TLS }
 
--- a/internal/link/web/forward.go
+++ b/internal/link/web/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -77,7 +78,7 @@
 func NewForwardRequest(ctx context.Context, address string, i *figpier.Inbound, body io.ReadCloser) (*http.Request, *Attempt) {
 	a := &Attempt{}
 	trace := newTrace(a, i.Length())
-	header := i.Header().Clone()
+	header := maps.Clone(i.Header())
 	if header.Get("User-Agent") == "" {
 		// Without an entry net/http adds a User-Agent of its own.
 		header.Set("User-Agent", "")
--- a/internal/link/web/headers.go
+++ b/internal/link/web/headers.go
@@ -15,20 +15,19 @@
 }
 
 // CopyEndToEnd copies headers except for the hop-by-hop headers, including those that the Connection header names, and the
-// headers that only the system may set.
+// headers that only the system may set. The copies share their values, which must not change.
 func CopyEndToEnd(to, from http.Header) {
-	dropped := map[string]bool{}
+	for name, values := range from {
+		if !figpier.ReservedHeader(name) {
+			to[name] = values
+		}
+	}
 	for _, name := range hopByHopHeaders {
-		dropped[name] = true
+		delete(to, name)
 	}
 	for _, list := range from["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			dropped[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	for name, values := range from {
-		if !dropped[name] && !figpier.ReservedHeader(name) {
-			to[name] = append([]string(nil), values...)
+			delete(to, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
 		}
 	}
 }
--- a/internal/link/web/replayable_body.go
+++ b/internal/link/web/replayable_body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"sync"
 
@@ -27,16 +28,16 @@
 }
 
 // NewReplayableBody reads the whole body if it is to be buffered, and returns a *figpier.Refusal if it breaks off. A length of -1
-// means that it is not known.
-func NewReplayableBody(body io.ReadCloser, length int64) (*ReplayableBody, error) {
-	if streams(length) {
+// means that it is not known. The context is that of the request, to whose memory the buffer counts.
+func NewReplayableBody(ctx context.Context, body io.ReadCloser, length int64) (*ReplayableBody, error) {
+	if streams(length) || !reserveBuffer(ctx, length) {
 		return &ReplayableBody{streamed: body, length: length}, nil
 	}
-	buffered, err := io.ReadAll(body)
-	if err != nil {
+	buffered := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
+	if _, err := buffered.ReadFrom(body); err != nil {
 		return nil, figpier.Refuse(figpier.RefusalMalformed)
 	}
-	return &ReplayableBody{buffered: buffered, length: length}, nil
+	return &ReplayableBody{buffered: buffered.Bytes(), length: length}, nil
 }
 
 // streams reports whether a body of a length, -1 for an unknown one, is streamed.
--- a/internal/link/web/server.go
+++ b/internal/link/web/server.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/figpier/figpier"
 )
 
 // Error is the class of errors of this package.
@@ -50,11 +52,15 @@
 	// Linger is how long a shutdown still serves requests on open connections after it has stopped accepting new ones, 0
 	// for not at all.
 	Linger time.Duration
+	// Memory bounds the memory of requests that take more than an ordinary one; nil for no bound.
+	Memory figpier.RequestMemory
+	// OnlyHTTP1 refuses HTTP/2.
+	OnlyHTTP1 bool
 	// Limits returns the limits for new connections and is called for each of them; nil for the default bounds.
 	Limits func() Limits
 }
 
-// LimitsConfig holds the fields of Limits; 0 stands for the default bound.
+// LimitsConfig holds the fields of Limits; a value that is not positive stands for the default bound.
 type LimitsConfig struct {
 	// HeaderBytes is the greatest size of a request's head in bytes.
 	HeaderBytes int
@@ -120,8 +126,16 @@
 			s.waitToAccept()
 			continue
 		}
-		s.currentListener().deliver(c)
+		s.currentListener().deliver(s.counted(c))
+	}
+}
+
+// counted returns a connection whose requests count towards the memory of requests.
+func (s *Server) counted(c net.Conn) net.Conn {
+	if s.config.Memory == nil {
+		return c
 	}
+	return &serverConn{Conn: c, account: account{memory: s.config.Memory}, readsHeads: s.config.TLS == nil, inHead: true}
 }
 
 // stopAccepting closes the listener after acceptDrainTime, and returns once it is closed.
@@ -186,15 +200,16 @@
 func newServer(c ServerConfig, l Limits) *http.Server {
 	p := &http.Protocols{}
 	p.SetHTTP1(true)
-	p.SetHTTP2(c.TLS != nil)
-	p.SetUnencryptedHTTP2(c.TLS == nil)
+	p.SetHTTP2(c.TLS != nil && !c.OnlyHTTP1)
+	p.SetUnencryptedHTTP2(c.TLS == nil && !c.OnlyHTTP1)
 	return &http.Server{
-		Handler:           c.Handler,
+		Handler:           countRequests(c.Handler),
+		ConnContext:       withConn,
 		TLSConfig:         c.TLS,
 		Protocols:         p,
-		ReadHeaderTimeout: cmp.Or(l.config.HeaderTimeout, readHeaderTimeout),
-		IdleTimeout:       cmp.Or(l.config.IdleTimeout, idleTimeout),
-		MaxHeaderBytes:    cmp.Or(l.config.HeaderBytes, maxHeaderBytes),
+		ReadHeaderTimeout: positiveOr(l.config.HeaderTimeout, readHeaderTimeout),
+		IdleTimeout:       positiveOr(l.config.IdleTimeout, idleTimeout),
+		MaxHeaderBytes:    positiveOr(l.config.HeaderBytes, maxHeaderBytes),
 		// The handler answers "OPTIONS *" with a refusal, like every other request without a path.
 		DisableGeneralOptionsHandler: true,
 		HTTP2: &http.HTTP2Config{
@@ -205,6 +220,15 @@
 	}
 }
 
+// positiveOr returns a limit, or the default for one that is not positive, which net/http would take for no limit.
+func positiveOr[T cmp.Ordered](limit, def T) T {
+	var zero T
+	if limit > zero {
+		return limit
+	}
+	return def
+}
+
 // Address returns the IP address and port that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
--- a/internal/traffic/backend/server.go
+++ b/internal/traffic/backend/server.go
@@ -103,7 +103,11 @@
 	if s.log, err = figpier.FindRequestLog(d); err != nil {
 		return err
 	}
-	s.listener, err = web.Listen(ctx, web.ServerConfig{Address: s.config.Address, Handler: s.handler()})
+	memory, err := figpier.FindRequestMemory(d)
+	if err != nil {
+		return err
+	}
+	s.listener, err = web.Listen(ctx, web.ServerConfig{Address: s.config.Address, Handler: s.handler(), Memory: memory})
 	return err
 }
 
--- a/internal/traffic/forward/attempts.go
+++ b/internal/traffic/forward/attempts.go
@@ -45,7 +45,7 @@
 
 // runAttempts attempts the call at one member after another until there is an answer or no further attempt is allowed.
 func (f *Forwarder) runAttempts(ctx context.Context, i *figpier.Inbound, c *figpier.Call) (*figpier.Answer, error) {
-	body, err := web.NewReplayableBody(i.Body(), i.Length())
+	body, err := web.NewReplayableBody(ctx, i.Body(), i.Length())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/traffic/peer/listener.go
+++ b/internal/traffic/peer/listener.go
@@ -55,11 +55,16 @@
 	if l.log, err = figpier.FindRequestLog(d); err != nil {
 		return err
 	}
+	memory, err := figpier.FindRequestMemory(d)
+	if err != nil {
+		return err
+	}
 	l.server, err = web.Listen(ctx, web.ServerConfig{
 		Address:   l.config.Address,
 		TLS:       l.config.TLS,
 		Handler:   l,
 		PingAfter: l.config.PingAfter,
+		Memory:    memory,
 	})
 	return err
 }
--- a/names.go
+++ b/names.go
@@ -30,6 +30,7 @@
 	CutOffService         ServiceName = "traffic.cut-offs"
 	ExplanationService    ServiceName = "traffic.explanation"
 	CounterService        ServiceName = "host.counters"
+	MemoryService         ServiceName = "host.memory"
 	PoolService           ServiceName = "control.pool"
 	SeedService           ServiceName = "host.seeds"
 	ForwardService        ServiceName = "traffic.forward"
