--- a/internal/wire/message/messages.go
+++ b/internal/wire/message/messages.go
@@ -4,6 +4,7 @@
 
 import "encoding/json"
 import "fmt"
+import "github.com/figpier/figpier/internal/wire/fields"
 
 // Account is a customer as the routing table describes it.
 type Account struct {
@@ -35,14 +36,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *AccountRun) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["count"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("count") {
 		return fmt.Errorf("field count in AccountRun: required")
 	}
-	if _, ok := raw["from"]; raw != nil && !ok {
+	if names.Lacks("from") {
 		return fmt.Errorf("field from in AccountRun: required")
 	}
 	type Plain AccountRun
@@ -56,17 +54,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Account) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["customer"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("customer") {
 		return fmt.Errorf("field customer in Account: required")
 	}
-	if _, ok := raw["keys"]; raw != nil && !ok {
+	if names.Lacks("keys") {
 		return fmt.Errorf("field keys in Account: required")
 	}
-	if _, ok := raw["limit"]; raw != nil && !ok {
+	if names.Lacks("limit") {
 		return fmt.Errorf("field limit in Account: required")
 	}
 	type Plain Account
@@ -94,14 +89,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Announcement) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["address"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("address") {
 		return fmt.Errorf("field address in Announcement: required")
 	}
-	if _, ok := raw["slots"]; raw != nil && !ok {
+	if names.Lacks("slots") {
 		return fmt.Errorf("field slots in Announcement: required")
 	}
 	type Plain Announcement
@@ -127,17 +119,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Assignment) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["profile"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("profile") {
 		return fmt.Errorf("field profile in Assignment: required")
 	}
-	if _, ok := raw["revision"]; raw != nil && !ok {
+	if names.Lacks("revision") {
 		return fmt.Errorf("field revision in Assignment: required")
 	}
-	if _, ok := raw["service"]; raw != nil && !ok {
+	if names.Lacks("service") {
 		return fmt.Errorf("field service in Assignment: required")
 	}
 	type Plain Assignment
@@ -177,29 +166,26 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Binding) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["count"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("count") {
 		return fmt.Errorf("field count in Binding: required")
 	}
-	if _, ok := raw["customer"]; raw != nil && !ok {
+	if names.Lacks("customer") {
 		return fmt.Errorf("field customer in Binding: required")
 	}
-	if _, ok := raw["kind"]; raw != nil && !ok {
+	if names.Lacks("kind") {
 		return fmt.Errorf("field kind in Binding: required")
 	}
-	if _, ok := raw["limit"]; raw != nil && !ok {
+	if names.Lacks("limit") {
 		return fmt.Errorf("field limit in Binding: required")
 	}
-	if _, ok := raw["place"]; raw != nil && !ok {
+	if names.Lacks("place") {
 		return fmt.Errorf("field place in Binding: required")
 	}
-	if _, ok := raw["service"]; raw != nil && !ok {
+	if names.Lacks("service") {
 		return fmt.Errorf("field service in Binding: required")
 	}
-	if _, ok := raw["sinceMillis"]; raw != nil && !ok {
+	if names.Lacks("sinceMillis") {
 		return fmt.Errorf("field sinceMillis in Binding: required")
 	}
 	type Plain Binding
@@ -223,14 +209,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *CatalogState) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["answers"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("answers") {
 		return fmt.Errorf("field answers in CatalogState: required")
 	}
-	if _, ok := raw["configuration"]; raw != nil && !ok {
+	if names.Lacks("configuration") {
 		return fmt.Errorf("field configuration in CatalogState: required")
 	}
 	type Plain CatalogState
@@ -280,20 +263,17 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ConfigurationDelta) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["base"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("base") {
 		return fmt.Errorf("field base in ConfigurationDelta: required")
 	}
-	if _, ok := raw["changed"]; raw != nil && !ok {
+	if names.Lacks("changed") {
 		return fmt.Errorf("field changed in ConfigurationDelta: required")
 	}
-	if _, ok := raw["goneKeys"]; raw != nil && !ok {
+	if names.Lacks("goneKeys") {
 		return fmt.Errorf("field goneKeys in ConfigurationDelta: required")
 	}
-	if _, ok := raw["goneProfiles"]; raw != nil && !ok {
+	if names.Lacks("goneProfiles") {
 		return fmt.Errorf("field goneProfiles in ConfigurationDelta: required")
 	}
 	type Plain ConfigurationDelta
@@ -307,20 +287,17 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Configuration) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["assignments"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("assignments") {
 		return fmt.Errorf("field assignments in Configuration: required")
 	}
-	if _, ok := raw["keys"]; raw != nil && !ok {
+	if names.Lacks("keys") {
 		return fmt.Errorf("field keys in Configuration: required")
 	}
-	if _, ok := raw["profiles"]; raw != nil && !ok {
+	if names.Lacks("profiles") {
 		return fmt.Errorf("field profiles in Configuration: required")
 	}
-	if _, ok := raw["revision"]; raw != nil && !ok {
+	if names.Lacks("revision") {
 		return fmt.Errorf("field revision in Configuration: required")
 	}
 	type Plain Configuration
@@ -346,17 +323,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ControlPlace) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["address"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("address") {
 		return fmt.Errorf("field address in ControlPlace: required")
 	}
-	if _, ok := raw["dataCentre"]; raw != nil && !ok {
+	if names.Lacks("dataCentre") {
 		return fmt.Errorf("field dataCentre in ControlPlace: required")
 	}
-	if _, ok := raw["region"]; raw != nil && !ok {
+	if names.Lacks("region") {
 		return fmt.Errorf("field region in ControlPlace: required")
 	}
 	type Plain ControlPlace
@@ -377,11 +351,8 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ControlsAnswer) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["controls"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("controls") {
 		return fmt.Errorf("field controls in ControlsAnswer: required")
 	}
 	type Plain ControlsAnswer
@@ -410,14 +381,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *DocumentRun) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["count"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("count") {
 		return fmt.Errorf("field count in DocumentRun: required")
 	}
-	if _, ok := raw["from"]; raw != nil && !ok {
+	if names.Lacks("from") {
 		return fmt.Errorf("field from in DocumentRun: required")
 	}
 	type Plain DocumentRun
@@ -490,26 +458,23 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *EditAnswer) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["detail"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("detail") {
 		return fmt.Errorf("field detail in EditAnswer: required")
 	}
-	if _, ok := raw["keyId"]; raw != nil && !ok {
+	if names.Lacks("keyId") {
 		return fmt.Errorf("field keyId in EditAnswer: required")
 	}
-	if _, ok := raw["operation"]; raw != nil && !ok {
+	if names.Lacks("operation") {
 		return fmt.Errorf("field operation in EditAnswer: required")
 	}
-	if _, ok := raw["outcome"]; raw != nil && !ok {
+	if names.Lacks("outcome") {
 		return fmt.Errorf("field outcome in EditAnswer: required")
 	}
-	if _, ok := raw["revision"]; raw != nil && !ok {
+	if names.Lacks("revision") {
 		return fmt.Errorf("field revision in EditAnswer: required")
 	}
-	if _, ok := raw["subject"]; raw != nil && !ok {
+	if names.Lacks("subject") {
 		return fmt.Errorf("field subject in EditAnswer: required")
 	}
 	type Plain EditAnswer
@@ -523,17 +488,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Edit) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["base"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("base") {
 		return fmt.Errorf("field base in Edit: required")
 	}
-	if _, ok := raw["kind"]; raw != nil && !ok {
+	if names.Lacks("kind") {
 		return fmt.Errorf("field kind in Edit: required")
 	}
-	if _, ok := raw["operation"]; raw != nil && !ok {
+	if names.Lacks("operation") {
 		return fmt.Errorf("field operation in Edit: required")
 	}
 	type Plain Edit
@@ -592,47 +554,44 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Envelope) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["budget"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("budget") {
 		return fmt.Errorf("field budget in Envelope: required")
 	}
-	if _, ok := raw["callerService"]; raw != nil && !ok {
+	if names.Lacks("callerService") {
 		return fmt.Errorf("field callerService in Envelope: required")
 	}
-	if _, ok := raw["customer"]; raw != nil && !ok {
+	if names.Lacks("customer") {
 		return fmt.Errorf("field customer in Envelope: required")
 	}
-	if _, ok := raw["depth"]; raw != nil && !ok {
+	if names.Lacks("depth") {
 		return fmt.Errorf("field depth in Envelope: required")
 	}
-	if _, ok := raw["idempotencyKey"]; raw != nil && !ok {
+	if names.Lacks("idempotencyKey") {
 		return fmt.Errorf("field idempotencyKey in Envelope: required")
 	}
-	if _, ok := raw["idempotent"]; raw != nil && !ok {
+	if names.Lacks("idempotent") {
 		return fmt.Errorf("field idempotent in Envelope: required")
 	}
-	if _, ok := raw["keyDigest"]; raw != nil && !ok {
+	if names.Lacks("keyDigest") {
 		return fmt.Errorf("field keyDigest in Envelope: required")
 	}
-	if _, ok := raw["priority"]; raw != nil && !ok {
+	if names.Lacks("priority") {
 		return fmt.Errorf("field priority in Envelope: required")
 	}
-	if _, ok := raw["rank"]; raw != nil && !ok {
+	if names.Lacks("rank") {
 		return fmt.Errorf("field rank in Envelope: required")
 	}
-	if _, ok := raw["remainingMicros"]; raw != nil && !ok {
+	if names.Lacks("remainingMicros") {
 		return fmt.Errorf("field remainingMicros in Envelope: required")
 	}
-	if _, ok := raw["requestId"]; raw != nil && !ok {
+	if names.Lacks("requestId") {
 		return fmt.Errorf("field requestId in Envelope: required")
 	}
-	if _, ok := raw["route"]; raw != nil && !ok {
+	if names.Lacks("route") {
 		return fmt.Errorf("field route in Envelope: required")
 	}
-	if _, ok := raw["service"]; raw != nil && !ok {
+	if names.Lacks("service") {
 		return fmt.Errorf("field service in Envelope: required")
 	}
 	type Plain Envelope
@@ -653,11 +612,8 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Explanation) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["bindings"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("bindings") {
 		return fmt.Errorf("field bindings in Explanation: required")
 	}
 	type Plain Explanation
@@ -705,38 +661,35 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *HostRoute) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["attempts"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("attempts") {
 		return fmt.Errorf("field attempts in HostRoute: required")
 	}
-	if _, ok := raw["host"]; raw != nil && !ok {
+	if names.Lacks("host") {
 		return fmt.Errorf("field host in HostRoute: required")
 	}
-	if _, ok := raw["idempotent"]; raw != nil && !ok {
+	if names.Lacks("idempotent") {
 		return fmt.Errorf("field idempotent in HostRoute: required")
 	}
-	if _, ok := raw["name"]; raw != nil && !ok {
+	if names.Lacks("name") {
 		return fmt.Errorf("field name in HostRoute: required")
 	}
-	if _, ok := raw["open"]; raw != nil && !ok {
+	if names.Lacks("open") {
 		return fmt.Errorf("field open in HostRoute: required")
 	}
-	if _, ok := raw["parts"]; raw != nil && !ok {
+	if names.Lacks("parts") {
 		return fmt.Errorf("field parts in HostRoute: required")
 	}
-	if _, ok := raw["prefix"]; raw != nil && !ok {
+	if names.Lacks("prefix") {
 		return fmt.Errorf("field prefix in HostRoute: required")
 	}
-	if _, ok := raw["priority"]; raw != nil && !ok {
+	if names.Lacks("priority") {
 		return fmt.Errorf("field priority in HostRoute: required")
 	}
-	if _, ok := raw["targetMillis"]; raw != nil && !ok {
+	if names.Lacks("targetMillis") {
 		return fmt.Errorf("field targetMillis in HostRoute: required")
 	}
-	if _, ok := raw["timeoutMillis"]; raw != nil && !ok {
+	if names.Lacks("timeoutMillis") {
 		return fmt.Errorf("field timeoutMillis in HostRoute: required")
 	}
 	type Plain HostRoute
@@ -765,20 +718,17 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Key) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["customer"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("customer") {
 		return fmt.Errorf("field customer in Key: required")
 	}
-	if _, ok := raw["digest"]; raw != nil && !ok {
+	if names.Lacks("digest") {
 		return fmt.Errorf("field digest in Key: required")
 	}
-	if _, ok := raw["id"]; raw != nil && !ok {
+	if names.Lacks("id") {
 		return fmt.Errorf("field id in Key: required")
 	}
-	if _, ok := raw["revision"]; raw != nil && !ok {
+	if names.Lacks("revision") {
 		return fmt.Errorf("field revision in Key: required")
 	}
 	type Plain Key
@@ -801,14 +751,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Limit) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["burst"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("burst") {
 		return fmt.Errorf("field burst in Limit: required")
 	}
-	if _, ok := raw["rate"]; raw != nil && !ok {
+	if names.Lacks("rate") {
 		return fmt.Errorf("field rate in Limit: required")
 	}
 	type Plain Limit
@@ -854,35 +801,32 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Member) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["dataCentre"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("dataCentre") {
 		return fmt.Errorf("field dataCentre in Member: required")
 	}
-	if _, ok := raw["draining"]; raw != nil && !ok {
+	if names.Lacks("draining") {
 		return fmt.Errorf("field draining in Member: required")
 	}
-	if _, ok := raw["instance"]; raw != nil && !ok {
+	if names.Lacks("instance") {
 		return fmt.Errorf("field instance in Member: required")
 	}
-	if _, ok := raw["messageAddress"]; raw != nil && !ok {
+	if names.Lacks("messageAddress") {
 		return fmt.Errorf("field messageAddress in Member: required")
 	}
-	if _, ok := raw["peerAddress"]; raw != nil && !ok {
+	if names.Lacks("peerAddress") {
 		return fmt.Errorf("field peerAddress in Member: required")
 	}
-	if _, ok := raw["region"]; raw != nil && !ok {
+	if names.Lacks("region") {
 		return fmt.Errorf("field region in Member: required")
 	}
-	if _, ok := raw["sequence"]; raw != nil && !ok {
+	if names.Lacks("sequence") {
 		return fmt.Errorf("field sequence in Member: required")
 	}
-	if _, ok := raw["service"]; raw != nil && !ok {
+	if names.Lacks("service") {
 		return fmt.Errorf("field service in Member: required")
 	}
-	if _, ok := raw["slots"]; raw != nil && !ok {
+	if names.Lacks("slots") {
 		return fmt.Errorf("field slots in Member: required")
 	}
 	type Plain Member
@@ -920,23 +864,20 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *MembersAnswer) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["dataCentre"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("dataCentre") {
 		return fmt.Errorf("field dataCentre in MembersAnswer: required")
 	}
-	if _, ok := raw["full"]; raw != nil && !ok {
+	if names.Lacks("full") {
 		return fmt.Errorf("field full in MembersAnswer: required")
 	}
-	if _, ok := raw["memberVersion"]; raw != nil && !ok {
+	if names.Lacks("memberVersion") {
 		return fmt.Errorf("field memberVersion in MembersAnswer: required")
 	}
-	if _, ok := raw["region"]; raw != nil && !ok {
+	if names.Lacks("region") {
 		return fmt.Errorf("field region in MembersAnswer: required")
 	}
-	if _, ok := raw["registry"]; raw != nil && !ok {
+	if names.Lacks("registry") {
 		return fmt.Errorf("field registry in MembersAnswer: required")
 	}
 	type Plain MembersAnswer
@@ -965,17 +906,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *MembersPoll) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["memberVersion"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("memberVersion") {
 		return fmt.Errorf("field memberVersion in MembersPoll: required")
 	}
-	if _, ok := raw["registry"]; raw != nil && !ok {
+	if names.Lacks("registry") {
 		return fmt.Errorf("field registry in MembersPoll: required")
 	}
-	if _, ok := raw["waitMillis"]; raw != nil && !ok {
+	if names.Lacks("waitMillis") {
 		return fmt.Errorf("field waitMillis in MembersPoll: required")
 	}
 	type Plain MembersPoll
@@ -1077,32 +1015,29 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *PollAnswer) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["controls"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("controls") {
 		return fmt.Errorf("field controls in PollAnswer: required")
 	}
-	if _, ok := raw["full"]; raw != nil && !ok {
+	if names.Lacks("full") {
 		return fmt.Errorf("field full in PollAnswer: required")
 	}
-	if _, ok := raw["memberVersion"]; raw != nil && !ok {
+	if names.Lacks("memberVersion") {
 		return fmt.Errorf("field memberVersion in PollAnswer: required")
 	}
-	if _, ok := raw["nodes"]; raw != nil && !ok {
+	if names.Lacks("nodes") {
 		return fmt.Errorf("field nodes in PollAnswer: required")
 	}
-	if _, ok := raw["quorumAgeMillis"]; raw != nil && !ok {
+	if names.Lacks("quorumAgeMillis") {
 		return fmt.Errorf("field quorumAgeMillis in PollAnswer: required")
 	}
-	if _, ok := raw["registry"]; raw != nil && !ok {
+	if names.Lacks("registry") {
 		return fmt.Errorf("field registry in PollAnswer: required")
 	}
-	if _, ok := raw["revision"]; raw != nil && !ok {
+	if names.Lacks("revision") {
 		return fmt.Errorf("field revision in PollAnswer: required")
 	}
-	if _, ok := raw["settled"]; raw != nil && !ok {
+	if names.Lacks("settled") {
 		return fmt.Errorf("field settled in PollAnswer: required")
 	}
 	type Plain PollAnswer
@@ -1116,29 +1051,26 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Poll) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["elsewhereMillis"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("elsewhereMillis") {
 		return fmt.Errorf("field elsewhereMillis in Poll: required")
 	}
-	if _, ok := raw["member"]; raw != nil && !ok {
+	if names.Lacks("member") {
 		return fmt.Errorf("field member in Poll: required")
 	}
-	if _, ok := raw["memberVersion"]; raw != nil && !ok {
+	if names.Lacks("memberVersion") {
 		return fmt.Errorf("field memberVersion in Poll: required")
 	}
-	if _, ok := raw["registry"]; raw != nil && !ok {
+	if names.Lacks("registry") {
 		return fmt.Errorf("field registry in Poll: required")
 	}
-	if _, ok := raw["revision"]; raw != nil && !ok {
+	if names.Lacks("revision") {
 		return fmt.Errorf("field revision in Poll: required")
 	}
-	if _, ok := raw["services"]; raw != nil && !ok {
+	if names.Lacks("services") {
 		return fmt.Errorf("field services in Poll: required")
 	}
-	if _, ok := raw["waitMillis"]; raw != nil && !ok {
+	if names.Lacks("waitMillis") {
 		return fmt.Errorf("field waitMillis in Poll: required")
 	}
 	type Plain Poll
@@ -1169,20 +1101,17 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *PoolAnswer) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["granted"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("granted") {
 		return fmt.Errorf("field granted in PoolAnswer: required")
 	}
-	if _, ok := raw["idle"]; raw != nil && !ok {
+	if names.Lacks("idle") {
 		return fmt.Errorf("field idle in PoolAnswer: required")
 	}
-	if _, ok := raw["paid"]; raw != nil && !ok {
+	if names.Lacks("paid") {
 		return fmt.Errorf("field paid in PoolAnswer: required")
 	}
-	if _, ok := raw["waitMillis"]; raw != nil && !ok {
+	if names.Lacks("waitMillis") {
 		return fmt.Errorf("field waitMillis in PoolAnswer: required")
 	}
 	type Plain PoolAnswer
@@ -1212,17 +1141,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *PoolAsk) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["customer"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("customer") {
 		return fmt.Errorf("field customer in PoolAsk: required")
 	}
-	if _, ok := raw["nodes"]; raw != nil && !ok {
+	if names.Lacks("nodes") {
 		return fmt.Errorf("field nodes in PoolAsk: required")
 	}
-	if _, ok := raw["owed"]; raw != nil && !ok {
+	if names.Lacks("owed") {
 		return fmt.Errorf("field owed in PoolAsk: required")
 	}
 	type Plain PoolAsk
@@ -1265,23 +1191,20 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Profile) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["defaultLimit"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("defaultLimit") {
 		return fmt.Errorf("field defaultLimit in Profile: required")
 	}
-	if _, ok := raw["name"]; raw != nil && !ok {
+	if names.Lacks("name") {
 		return fmt.Errorf("field name in Profile: required")
 	}
-	if _, ok := raw["retry"]; raw != nil && !ok {
+	if names.Lacks("retry") {
 		return fmt.Errorf("field retry in Profile: required")
 	}
-	if _, ok := raw["revision"]; raw != nil && !ok {
+	if names.Lacks("revision") {
 		return fmt.Errorf("field revision in Profile: required")
 	}
-	if _, ok := raw["routes"]; raw != nil && !ok {
+	if names.Lacks("routes") {
 		return fmt.Errorf("field routes in Profile: required")
 	}
 	type Plain Profile
@@ -1307,17 +1230,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Refusal) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["message"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("message") {
 		return fmt.Errorf("field message in Refusal: required")
 	}
-	if _, ok := raw["notRun"]; raw != nil && !ok {
+	if names.Lacks("notRun") {
 		return fmt.Errorf("field notRun in Refusal: required")
 	}
-	if _, ok := raw["reason"]; raw != nil && !ok {
+	if names.Lacks("reason") {
 		return fmt.Errorf("field reason in Refusal: required")
 	}
 	type Plain Refusal
@@ -1352,26 +1272,23 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ReplicaEntry) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["command"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("command") {
 		return fmt.Errorf("field command in ReplicaEntry: required")
 	}
-	if _, ok := raw["index"]; raw != nil && !ok {
+	if names.Lacks("index") {
 		return fmt.Errorf("field index in ReplicaEntry: required")
 	}
-	if _, ok := raw["kind"]; raw != nil && !ok {
+	if names.Lacks("kind") {
 		return fmt.Errorf("field kind in ReplicaEntry: required")
 	}
-	if _, ok := raw["members"]; raw != nil && !ok {
+	if names.Lacks("members") {
 		return fmt.Errorf("field members in ReplicaEntry: required")
 	}
-	if _, ok := raw["proposal"]; raw != nil && !ok {
+	if names.Lacks("proposal") {
 		return fmt.Errorf("field proposal in ReplicaEntry: required")
 	}
-	if _, ok := raw["term"]; raw != nil && !ok {
+	if names.Lacks("term") {
 		return fmt.Errorf("field term in ReplicaEntry: required")
 	}
 	type Plain ReplicaEntry
@@ -1395,14 +1312,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ReplicaIdentity) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["incarnation"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("incarnation") {
 		return fmt.Errorf("field incarnation in ReplicaIdentity: required")
 	}
-	if _, ok := raw["instance"]; raw != nil && !ok {
+	if names.Lacks("instance") {
 		return fmt.Errorf("field instance in ReplicaIdentity: required")
 	}
 	type Plain ReplicaIdentity
@@ -1428,17 +1342,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ReplicaMember) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["address"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("address") {
 		return fmt.Errorf("field address in ReplicaMember: required")
 	}
-	if _, ok := raw["id"]; raw != nil && !ok {
+	if names.Lacks("id") {
 		return fmt.Errorf("field id in ReplicaMember: required")
 	}
-	if _, ok := raw["voter"]; raw != nil && !ok {
+	if names.Lacks("voter") {
 		return fmt.Errorf("field voter in ReplicaMember: required")
 	}
 	type Plain ReplicaMember
@@ -1516,65 +1427,62 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ReplicaMessage) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["answered"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("answered") {
 		return fmt.Errorf("field answered in ReplicaMessage: required")
 	}
-	if _, ok := raw["cluster"]; raw != nil && !ok {
+	if names.Lacks("cluster") {
 		return fmt.Errorf("field cluster in ReplicaMessage: required")
 	}
-	if _, ok := raw["commit"]; raw != nil && !ok {
+	if names.Lacks("commit") {
 		return fmt.Errorf("field commit in ReplicaMessage: required")
 	}
-	if _, ok := raw["entries"]; raw != nil && !ok {
+	if names.Lacks("entries") {
 		return fmt.Errorf("field entries in ReplicaMessage: required")
 	}
-	if _, ok := raw["force"]; raw != nil && !ok {
+	if names.Lacks("force") {
 		return fmt.Errorf("field force in ReplicaMessage: required")
 	}
-	if _, ok := raw["from"]; raw != nil && !ok {
+	if names.Lacks("from") {
 		return fmt.Errorf("field from in ReplicaMessage: required")
 	}
-	if _, ok := raw["granted"]; raw != nil && !ok {
+	if names.Lacks("granted") {
 		return fmt.Errorf("field granted in ReplicaMessage: required")
 	}
-	if _, ok := raw["index"]; raw != nil && !ok {
+	if names.Lacks("index") {
 		return fmt.Errorf("field index in ReplicaMessage: required")
 	}
-	if _, ok := raw["indexTerm"]; raw != nil && !ok {
+	if names.Lacks("indexTerm") {
 		return fmt.Errorf("field indexTerm in ReplicaMessage: required")
 	}
-	if _, ok := raw["kind"]; raw != nil && !ok {
+	if names.Lacks("kind") {
 		return fmt.Errorf("field kind in ReplicaMessage: required")
 	}
-	if _, ok := raw["members"]; raw != nil && !ok {
+	if names.Lacks("members") {
 		return fmt.Errorf("field members in ReplicaMessage: required")
 	}
-	if _, ok := raw["offset"]; raw != nil && !ok {
+	if names.Lacks("offset") {
 		return fmt.Errorf("field offset in ReplicaMessage: required")
 	}
-	if _, ok := raw["part"]; raw != nil && !ok {
+	if names.Lacks("part") {
 		return fmt.Errorf("field part in ReplicaMessage: required")
 	}
-	if _, ok := raw["quorumAgeMicros"]; raw != nil && !ok {
+	if names.Lacks("quorumAgeMicros") {
 		return fmt.Errorf("field quorumAgeMicros in ReplicaMessage: required")
 	}
-	if _, ok := raw["replyTo"]; raw != nil && !ok {
+	if names.Lacks("replyTo") {
 		return fmt.Errorf("field replyTo in ReplicaMessage: required")
 	}
-	if _, ok := raw["sequence"]; raw != nil && !ok {
+	if names.Lacks("sequence") {
 		return fmt.Errorf("field sequence in ReplicaMessage: required")
 	}
-	if _, ok := raw["term"]; raw != nil && !ok {
+	if names.Lacks("term") {
 		return fmt.Errorf("field term in ReplicaMessage: required")
 	}
-	if _, ok := raw["to"]; raw != nil && !ok {
+	if names.Lacks("to") {
 		return fmt.Errorf("field to in ReplicaMessage: required")
 	}
-	if _, ok := raw["total"]; raw != nil && !ok {
+	if names.Lacks("total") {
 		return fmt.Errorf("field total in ReplicaMessage: required")
 	}
 	type Plain ReplicaMessage
@@ -1600,14 +1508,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ReplicaProposal) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["command"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("command") {
 		return fmt.Errorf("field command in ReplicaProposal: required")
 	}
-	if _, ok := raw["proposal"]; raw != nil && !ok {
+	if names.Lacks("proposal") {
 		return fmt.Errorf("field proposal in ReplicaProposal: required")
 	}
 	type Plain ReplicaProposal
@@ -1639,11 +1544,8 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ReplicaRemoval) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["instance"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("instance") {
 		return fmt.Errorf("field instance in ReplicaRemoval: required")
 	}
 	type Plain ReplicaRemoval
@@ -1667,14 +1569,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ReplicaSegment) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["number"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("number") {
 		return fmt.Errorf("field number in ReplicaSegment: required")
 	}
-	if _, ok := raw["snapshot"]; raw != nil && !ok {
+	if names.Lacks("snapshot") {
 		return fmt.Errorf("field snapshot in ReplicaSegment: required")
 	}
 	type Plain ReplicaSegment
@@ -1703,20 +1602,17 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ReplicaSnapshot) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["data"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("data") {
 		return fmt.Errorf("field data in ReplicaSnapshot: required")
 	}
-	if _, ok := raw["index"]; raw != nil && !ok {
+	if names.Lacks("index") {
 		return fmt.Errorf("field index in ReplicaSnapshot: required")
 	}
-	if _, ok := raw["members"]; raw != nil && !ok {
+	if names.Lacks("members") {
 		return fmt.Errorf("field members in ReplicaSnapshot: required")
 	}
-	if _, ok := raw["term"]; raw != nil && !ok {
+	if names.Lacks("term") {
 		return fmt.Errorf("field term in ReplicaSnapshot: required")
 	}
 	type Plain ReplicaSnapshot
@@ -1743,17 +1639,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ReplicaState) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["cluster"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("cluster") {
 		return fmt.Errorf("field cluster in ReplicaState: required")
 	}
-	if _, ok := raw["term"]; raw != nil && !ok {
+	if names.Lacks("term") {
 		return fmt.Errorf("field term in ReplicaState: required")
 	}
-	if _, ok := raw["vote"]; raw != nil && !ok {
+	if names.Lacks("vote") {
 		return fmt.Errorf("field vote in ReplicaState: required")
 	}
 	type Plain ReplicaState
@@ -1785,23 +1678,20 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ReplicaStatus) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["cluster"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("cluster") {
 		return fmt.Errorf("field cluster in ReplicaStatus: required")
 	}
-	if _, ok := raw["founder"]; raw != nil && !ok {
+	if names.Lacks("founder") {
 		return fmt.Errorf("field founder in ReplicaStatus: required")
 	}
-	if _, ok := raw["leader"]; raw != nil && !ok {
+	if names.Lacks("leader") {
 		return fmt.Errorf("field leader in ReplicaStatus: required")
 	}
-	if _, ok := raw["leaderAddress"]; raw != nil && !ok {
+	if names.Lacks("leaderAddress") {
 		return fmt.Errorf("field leaderAddress in ReplicaStatus: required")
 	}
-	if _, ok := raw["member"]; raw != nil && !ok {
+	if names.Lacks("member") {
 		return fmt.Errorf("field member in ReplicaStatus: required")
 	}
 	type Plain ReplicaStatus
@@ -1831,20 +1721,17 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ReplicaVerdict) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["address"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("address") {
 		return fmt.Errorf("field address in ReplicaVerdict: required")
 	}
-	if _, ok := raw["detail"]; raw != nil && !ok {
+	if names.Lacks("detail") {
 		return fmt.Errorf("field detail in ReplicaVerdict: required")
 	}
-	if _, ok := raw["leader"]; raw != nil && !ok {
+	if names.Lacks("leader") {
 		return fmt.Errorf("field leader in ReplicaVerdict: required")
 	}
-	if _, ok := raw["taken"]; raw != nil && !ok {
+	if names.Lacks("taken") {
 		return fmt.Errorf("field taken in ReplicaVerdict: required")
 	}
 	type Plain ReplicaVerdict
@@ -1873,17 +1760,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Retry) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["callerIntervalMillis"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("callerIntervalMillis") {
 		return fmt.Errorf("field callerIntervalMillis in Retry: required")
 	}
-	if _, ok := raw["share"]; raw != nil && !ok {
+	if names.Lacks("share") {
 		return fmt.Errorf("field share in Retry: required")
 	}
-	if _, ok := raw["treeBudget"]; raw != nil && !ok {
+	if names.Lacks("treeBudget") {
 		return fmt.Errorf("field treeBudget in Retry: required")
 	}
 	type Plain Retry
@@ -1927,14 +1811,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *RoutePart) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["service"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("service") {
 		return fmt.Errorf("field service in RoutePart: required")
 	}
-	if _, ok := raw["weight"]; raw != nil && !ok {
+	if names.Lacks("weight") {
 		return fmt.Errorf("field weight in RoutePart: required")
 	}
 	type Plain RoutePart
@@ -1960,14 +1841,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *RouteRun) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["count"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("count") {
 		return fmt.Errorf("field count in RouteRun: required")
 	}
-	if _, ok := raw["from"]; raw != nil && !ok {
+	if names.Lacks("from") {
 		return fmt.Errorf("field from in RouteRun: required")
 	}
 	type Plain RouteRun
@@ -1981,26 +1859,23 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Route) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["deadlineMillis"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("deadlineMillis") {
 		return fmt.Errorf("field deadlineMillis in Route: required")
 	}
-	if _, ok := raw["idempotent"]; raw != nil && !ok {
+	if names.Lacks("idempotent") {
 		return fmt.Errorf("field idempotent in Route: required")
 	}
-	if _, ok := raw["method"]; raw != nil && !ok {
+	if names.Lacks("method") {
 		return fmt.Errorf("field method in Route: required")
 	}
-	if _, ok := raw["open"]; raw != nil && !ok {
+	if names.Lacks("open") {
 		return fmt.Errorf("field open in Route: required")
 	}
-	if _, ok := raw["path"]; raw != nil && !ok {
+	if names.Lacks("path") {
 		return fmt.Errorf("field path in Route: required")
 	}
-	if _, ok := raw["priority"]; raw != nil && !ok {
+	if names.Lacks("priority") {
 		return fmt.Errorf("field priority in Route: required")
 	}
 	type Plain Route
@@ -2026,14 +1901,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ServiceRun) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["count"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("count") {
 		return fmt.Errorf("field count in ServiceRun: required")
 	}
-	if _, ok := raw["from"]; raw != nil && !ok {
+	if names.Lacks("from") {
 		return fmt.Errorf("field from in ServiceRun: required")
 	}
 	type Plain ServiceRun
@@ -2117,26 +1989,23 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *TableDelta) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["accounts"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("accounts") {
 		return fmt.Errorf("field accounts in TableDelta: required")
 	}
-	if _, ok := raw["base"]; raw != nil && !ok {
+	if names.Lacks("base") {
 		return fmt.Errorf("field base in TableDelta: required")
 	}
-	if _, ok := raw["digest"]; raw != nil && !ok {
+	if names.Lacks("digest") {
 		return fmt.Errorf("field digest in TableDelta: required")
 	}
-	if _, ok := raw["head"]; raw != nil && !ok {
+	if names.Lacks("head") {
 		return fmt.Errorf("field head in TableDelta: required")
 	}
-	if _, ok := raw["routes"]; raw != nil && !ok {
+	if names.Lacks("routes") {
 		return fmt.Errorf("field routes in TableDelta: required")
 	}
-	if _, ok := raw["services"]; raw != nil && !ok {
+	if names.Lacks("services") {
 		return fmt.Errorf("field services in TableDelta: required")
 	}
 	type Plain TableDelta
@@ -2163,17 +2032,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *TableService) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["healthPath"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("healthPath") {
 		return fmt.Errorf("field healthPath in TableService: required")
 	}
-	if _, ok := raw["maxConnections"]; raw != nil && !ok {
+	if names.Lacks("maxConnections") {
 		return fmt.Errorf("field maxConnections in TableService: required")
 	}
-	if _, ok := raw["name"]; raw != nil && !ok {
+	if names.Lacks("name") {
 		return fmt.Errorf("field name in TableService: required")
 	}
 	type Plain TableService
@@ -2187,35 +2053,32 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Table) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["accounts"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("accounts") {
 		return fmt.Errorf("field accounts in Table: required")
 	}
-	if _, ok := raw["bodyBytes"]; raw != nil && !ok {
+	if names.Lacks("bodyBytes") {
 		return fmt.Errorf("field bodyBytes in Table: required")
 	}
-	if _, ok := raw["headerBytes"]; raw != nil && !ok {
+	if names.Lacks("headerBytes") {
 		return fmt.Errorf("field headerBytes in Table: required")
 	}
-	if _, ok := raw["headerTimeoutMillis"]; raw != nil && !ok {
+	if names.Lacks("headerTimeoutMillis") {
 		return fmt.Errorf("field headerTimeoutMillis in Table: required")
 	}
-	if _, ok := raw["idleTimeoutMillis"]; raw != nil && !ok {
+	if names.Lacks("idleTimeoutMillis") {
 		return fmt.Errorf("field idleTimeoutMillis in Table: required")
 	}
-	if _, ok := raw["number"]; raw != nil && !ok {
+	if names.Lacks("number") {
 		return fmt.Errorf("field number in Table: required")
 	}
-	if _, ok := raw["revision"]; raw != nil && !ok {
+	if names.Lacks("revision") {
 		return fmt.Errorf("field revision in Table: required")
 	}
-	if _, ok := raw["routes"]; raw != nil && !ok {
+	if names.Lacks("routes") {
 		return fmt.Errorf("field routes in Table: required")
 	}
-	if _, ok := raw["services"]; raw != nil && !ok {
+	if names.Lacks("services") {
 		return fmt.Errorf("field services in Table: required")
 	}
 	type Plain Table
@@ -2235,11 +2098,8 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *TransferAnswer) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["tokens"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("tokens") {
 		return fmt.Errorf("field tokens in TransferAnswer: required")
 	}
 	type Plain TransferAnswer
@@ -2264,11 +2124,8 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *TransferAsk) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["customer"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("customer") {
 		return fmt.Errorf("field customer in TransferAsk: required")
 	}
 	type Plain TransferAsk
--- a/internal/wire/message/shards.go
+++ b/internal/wire/message/shards.go
@@ -4,6 +4,7 @@
 
 import "encoding/json"
 import "fmt"
+import "github.com/figpier/figpier/internal/wire/fields"
 
 // ClaimAnswer is a primary's answer to a ClaimAsk.
 type ClaimAnswer struct {
@@ -21,17 +22,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ClaimAnswer) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["acting"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("acting") {
 		return fmt.Errorf("field acting in ClaimAnswer: required")
 	}
-	if _, ok := raw["verdict"]; raw != nil && !ok {
+	if names.Lacks("verdict") {
 		return fmt.Errorf("field verdict in ClaimAnswer: required")
 	}
-	if _, ok := raw["waitMillis"]; raw != nil && !ok {
+	if names.Lacks("waitMillis") {
 		return fmt.Errorf("field waitMillis in ClaimAnswer: required")
 	}
 	type Plain ClaimAnswer
@@ -61,20 +59,17 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ClaimAsk) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["attempt"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("attempt") {
 		return fmt.Errorf("field attempt in ClaimAsk: required")
 	}
-	if _, ok := raw["intervalMillis"]; raw != nil && !ok {
+	if names.Lacks("intervalMillis") {
 		return fmt.Errorf("field intervalMillis in ClaimAsk: required")
 	}
-	if _, ok := raw["key"]; raw != nil && !ok {
+	if names.Lacks("key") {
 		return fmt.Errorf("field key in ClaimAsk: required")
 	}
-	if _, ok := raw["shard"]; raw != nil && !ok {
+	if names.Lacks("shard") {
 		return fmt.Errorf("field shard in ClaimAsk: required")
 	}
 	type Plain ClaimAsk
@@ -103,20 +98,17 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ClaimEnd) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["attempt"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("attempt") {
 		return fmt.Errorf("field attempt in ClaimEnd: required")
 	}
-	if _, ok := raw["key"]; raw != nil && !ok {
+	if names.Lacks("key") {
 		return fmt.Errorf("field key in ClaimEnd: required")
 	}
-	if _, ok := raw["shard"]; raw != nil && !ok {
+	if names.Lacks("shard") {
 		return fmt.Errorf("field shard in ClaimEnd: required")
 	}
-	if _, ok := raw["state"]; raw != nil && !ok {
+	if names.Lacks("state") {
 		return fmt.Errorf("field state in ClaimEnd: required")
 	}
 	type Plain ClaimEnd
@@ -137,11 +129,8 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ClaimEnded) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["acting"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("acting") {
 		return fmt.Errorf("field acting in ClaimEnded: required")
 	}
 	type Plain ClaimEnded
@@ -171,20 +160,17 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ClaimRecord) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["ageMillis"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("ageMillis") {
 		return fmt.Errorf("field ageMillis in ClaimRecord: required")
 	}
-	if _, ok := raw["attempt"]; raw != nil && !ok {
+	if names.Lacks("attempt") {
 		return fmt.Errorf("field attempt in ClaimRecord: required")
 	}
-	if _, ok := raw["key"]; raw != nil && !ok {
+	if names.Lacks("key") {
 		return fmt.Errorf("field key in ClaimRecord: required")
 	}
-	if _, ok := raw["state"]; raw != nil && !ok {
+	if names.Lacks("state") {
 		return fmt.Errorf("field state in ClaimRecord: required")
 	}
 	type Plain ClaimRecord
@@ -207,14 +193,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *MachineSnapshot) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["catalog"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("catalog") {
 		return fmt.Errorf("field catalog in MachineSnapshot: required")
 	}
-	if _, ok := raw["shards"]; raw != nil && !ok {
+	if names.Lacks("shards") {
 		return fmt.Errorf("field shards in MachineSnapshot: required")
 	}
 	type Plain MachineSnapshot
@@ -253,23 +236,20 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ShardAssignment) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["epoch"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("epoch") {
 		return fmt.Errorf("field epoch in ShardAssignment: required")
 	}
-	if _, ok := raw["origin"]; raw != nil && !ok {
+	if names.Lacks("origin") {
 		return fmt.Errorf("field origin in ShardAssignment: required")
 	}
-	if _, ok := raw["primary"]; raw != nil && !ok {
+	if names.Lacks("primary") {
 		return fmt.Errorf("field primary in ShardAssignment: required")
 	}
-	if _, ok := raw["shard"]; raw != nil && !ok {
+	if names.Lacks("shard") {
 		return fmt.Errorf("field shard in ShardAssignment: required")
 	}
-	if _, ok := raw["stream"]; raw != nil && !ok {
+	if names.Lacks("stream") {
 		return fmt.Errorf("field stream in ShardAssignment: required")
 	}
 	type Plain ShardAssignment
@@ -297,14 +277,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ShardCommand) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["begin"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("begin") {
 		return fmt.Errorf("field begin in ShardCommand: required")
 	}
-	if _, ok := raw["term"]; raw != nil && !ok {
+	if names.Lacks("term") {
 		return fmt.Errorf("field term in ShardCommand: required")
 	}
 	type Plain ShardCommand
@@ -343,17 +320,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ShardLease) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["leading"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("leading") {
 		return fmt.Errorf("field leading in ShardLease: required")
 	}
-	if _, ok := raw["leaseMillis"]; raw != nil && !ok {
+	if names.Lacks("leaseMillis") {
 		return fmt.Errorf("field leaseMillis in ShardLease: required")
 	}
-	if _, ok := raw["same"]; raw != nil && !ok {
+	if names.Lacks("same") {
 		return fmt.Errorf("field same in ShardLease: required")
 	}
 	type Plain ShardLease
@@ -373,11 +347,8 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ShardLookup) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["shard"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("shard") {
 		return fmt.Errorf("field shard in ShardLookup: required")
 	}
 	type Plain ShardLookup
@@ -412,23 +383,20 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ShardRenewal) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["dataCentre"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("dataCentre") {
 		return fmt.Errorf("field dataCentre in ShardRenewal: required")
 	}
-	if _, ok := raw["leaving"]; raw != nil && !ok {
+	if names.Lacks("leaving") {
 		return fmt.Errorf("field leaving in ShardRenewal: required")
 	}
-	if _, ok := raw["mark"]; raw != nil && !ok {
+	if names.Lacks("mark") {
 		return fmt.Errorf("field mark in ShardRenewal: required")
 	}
-	if _, ok := raw["member"]; raw != nil && !ok {
+	if names.Lacks("member") {
 		return fmt.Errorf("field member in ShardRenewal: required")
 	}
-	if _, ok := raw["region"]; raw != nil && !ok {
+	if names.Lacks("region") {
 		return fmt.Errorf("field region in ShardRenewal: required")
 	}
 	type Plain ShardRenewal
@@ -458,14 +426,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ShardReport) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["epoch"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("epoch") {
 		return fmt.Errorf("field epoch in ShardReport: required")
 	}
-	if _, ok := raw["shard"]; raw != nil && !ok {
+	if names.Lacks("shard") {
 		return fmt.Errorf("field shard in ShardReport: required")
 	}
 	type Plain ShardReport
@@ -515,35 +480,32 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ShardWrite) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["epoch"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("epoch") {
 		return fmt.Errorf("field epoch in ShardWrite: required")
 	}
-	if _, ok := raw["lost"]; raw != nil && !ok {
+	if names.Lacks("lost") {
 		return fmt.Errorf("field lost in ShardWrite: required")
 	}
-	if _, ok := raw["lostMillis"]; raw != nil && !ok {
+	if names.Lacks("lostMillis") {
 		return fmt.Errorf("field lostMillis in ShardWrite: required")
 	}
-	if _, ok := raw["origin"]; raw != nil && !ok {
+	if names.Lacks("origin") {
 		return fmt.Errorf("field origin in ShardWrite: required")
 	}
-	if _, ok := raw["sequence"]; raw != nil && !ok {
+	if names.Lacks("sequence") {
 		return fmt.Errorf("field sequence in ShardWrite: required")
 	}
-	if _, ok := raw["shard"]; raw != nil && !ok {
+	if names.Lacks("shard") {
 		return fmt.Errorf("field shard in ShardWrite: required")
 	}
-	if _, ok := raw["stream"]; raw != nil && !ok {
+	if names.Lacks("stream") {
 		return fmt.Errorf("field stream in ShardWrite: required")
 	}
-	if _, ok := raw["to"]; raw != nil && !ok {
+	if names.Lacks("to") {
 		return fmt.Errorf("field to in ShardWrite: required")
 	}
-	if _, ok := raw["whole"]; raw != nil && !ok {
+	if names.Lacks("whole") {
 		return fmt.Errorf("field whole in ShardWrite: required")
 	}
 	type Plain ShardWrite
@@ -569,17 +531,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *ShardWritten) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["epoch"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("epoch") {
 		return fmt.Errorf("field epoch in ShardWritten: required")
 	}
-	if _, ok := raw["sequence"]; raw != nil && !ok {
+	if names.Lacks("sequence") {
 		return fmt.Errorf("field sequence in ShardWritten: required")
 	}
-	if _, ok := raw["stream"]; raw != nil && !ok {
+	if names.Lacks("stream") {
 		return fmt.Errorf("field stream in ShardWritten: required")
 	}
 	type Plain ShardWritten
@@ -625,32 +584,29 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *TokenAsk) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["customer"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("customer") {
 		return fmt.Errorf("field customer in TokenAsk: required")
 	}
-	if _, ok := raw["holder"]; raw != nil && !ok {
+	if names.Lacks("holder") {
 		return fmt.Errorf("field holder in TokenAsk: required")
 	}
-	if _, ok := raw["patienceMicros"]; raw != nil && !ok {
+	if names.Lacks("patienceMicros") {
 		return fmt.Errorf("field patienceMicros in TokenAsk: required")
 	}
-	if _, ok := raw["sequence"]; raw != nil && !ok {
+	if names.Lacks("sequence") {
 		return fmt.Errorf("field sequence in TokenAsk: required")
 	}
-	if _, ok := raw["service"]; raw != nil && !ok {
+	if names.Lacks("service") {
 		return fmt.Errorf("field service in TokenAsk: required")
 	}
-	if _, ok := raw["shard"]; raw != nil && !ok {
+	if names.Lacks("shard") {
 		return fmt.Errorf("field shard in TokenAsk: required")
 	}
-	if _, ok := raw["target"]; raw != nil && !ok {
+	if names.Lacks("target") {
 		return fmt.Errorf("field target in TokenAsk: required")
 	}
-	if _, ok := raw["waiting"]; raw != nil && !ok {
+	if names.Lacks("waiting") {
 		return fmt.Errorf("field waiting in TokenAsk: required")
 	}
 	type Plain TokenAsk
@@ -690,29 +646,26 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *TokenGrant) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["acting"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("acting") {
 		return fmt.Errorf("field acting in TokenGrant: required")
 	}
-	if _, ok := raw["empty"]; raw != nil && !ok {
+	if names.Lacks("empty") {
 		return fmt.Errorf("field empty in TokenGrant: required")
 	}
-	if _, ok := raw["leaseMillis"]; raw != nil && !ok {
+	if names.Lacks("leaseMillis") {
 		return fmt.Errorf("field leaseMillis in TokenGrant: required")
 	}
-	if _, ok := raw["overRate"]; raw != nil && !ok {
+	if names.Lacks("overRate") {
 		return fmt.Errorf("field overRate in TokenGrant: required")
 	}
-	if _, ok := raw["retryMicros"]; raw != nil && !ok {
+	if names.Lacks("retryMicros") {
 		return fmt.Errorf("field retryMicros in TokenGrant: required")
 	}
-	if _, ok := raw["sequence"]; raw != nil && !ok {
+	if names.Lacks("sequence") {
 		return fmt.Errorf("field sequence in TokenGrant: required")
 	}
-	if _, ok := raw["tokens"]; raw != nil && !ok {
+	if names.Lacks("tokens") {
 		return fmt.Errorf("field tokens in TokenGrant: required")
 	}
 	type Plain TokenGrant
@@ -738,17 +691,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *TokenReport) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["closed"]; raw != nil && !ok {
+	names := fields.Of(value)
+	if names.Lacks("closed") {
 		return fmt.Errorf("field closed in TokenReport: required")
 	}
-	if _, ok := raw["sequence"]; raw != nil && !ok {
+	if names.Lacks("sequence") {
 		return fmt.Errorf("field sequence in TokenReport: required")
 	}
-	if _, ok := raw["spent"]; raw != nil && !ok {
+	if names.Lacks("spent") {
 		return fmt.Errorf("field spent in TokenReport: required")
 	}
 	type Plain TokenReport
