Bound the entries of the log by their size

Cause: the log was bounded by the number of its entries alone. A change of all routes is an entry of half a megabyte.

New gauge figpier_log_entry_bytes.

--- a/edit.go
+++ b/edit.go
@@ -114,6 +114,19 @@
 	return fmt.Sprintf("the outcome of operation %q is unknown: resend it under the same operation id", string(e.operation))
 }
 
+// LogFullError reports an edit that the log did not take because too many entries wait to be committed.
+type LogFullError struct {
+	bytes int
+}
+
+// NewLogFullError returns an error with the total size in bytes of the entries that wait.
+func NewLogFullError(bytes int) *LogFullError { return &LogFullError{bytes: bytes} }
+
+// Error implements error.
+func (e *LogFullError) Error() string {
+	return fmt.Sprintf("the log holds %d bytes that are not committed yet: send the edit again later", e.bytes)
+}
+
 // NotLeaderError reports an edit sent to a control instance that is not the leader.
 type NotLeaderError struct {
 	leader InstanceID
--- a/internal/control/operator/failure.go
+++ b/internal/control/operator/failure.go
@@ -96,6 +96,7 @@
 	var unknown *figpier.OutcomeUnknownError
 	var notFound *NotFoundError
 	var unreachable *NodeUnreachableError
+	var full *figpier.LogFullError
 	var stale *StaleReadError
 	f := &api.Failure{Name: failureInternal, Message: err.Error()}
 	if operation != "" {
@@ -112,7 +113,7 @@
 		f.Name = failureOutcomeUnknown
 	case errors.As(err, &notFound):
 		f.Name = failureNotFound
-	case errors.As(err, &unreachable), errors.As(err, &stale):
+	case errors.As(err, &unreachable), errors.As(err, &stale), errors.As(err, &full):
 		f.Name = failureUnreached
 	case setInvalidField(err, f):
 		f.Name = failureInvalid
--- a/internal/control/operator/operator_test.go
+++ b/internal/control/operator/operator_test.go
@@ -211,6 +211,7 @@
 		{figpier.NewConflictError(9), http.StatusConflict, failureConflict},
 		{figpier.NewInvalidEditError("the profile is assigned"), http.StatusBadRequest, failureInvalid},
 		{figpier.NewNotLeaderError("control-2"), http.StatusServiceUnavailable, failureNotLeader},
+		{figpier.NewLogFullError(1 << 20), http.StatusBadGateway, failureUnreached},
 		{figpier.NewOutcomeUnknownError("op"), http.StatusGatewayTimeout, failureOutcomeUnknown},
 		{context.DeadlineExceeded, http.StatusGatewayTimeout, failureOutcomeUnknown},
 		{io.ErrUnexpectedEOF, http.StatusInternalServerError, failureInternal},
--- a/internal/control/replica/handle.go
+++ b/internal/control/replica/handle.go
@@ -133,9 +133,9 @@
 	}
 }
 
-// compact takes a snapshot when snapshotEntries entries were committed since the last one, and reports whether it did.
+// compact takes a snapshot if one is due, and reports whether it did.
 func (l *Log) compact() bool {
-	if l.failed || l.machine.CommitIndex() < l.machine.SnapshotIndex()+snapshotEntries {
+	if l.failed || !l.snapshotDue() {
 		return false
 	}
 	data, err := l.stateMachine.Snapshot()
@@ -147,6 +147,14 @@
 	return true
 }
 
+// snapshotDue reports whether snapshotEntries entries were committed since the last snapshot, or entries of snapshotBytes. A
+// state that is larger than these bytes is written only once the entries are as large, so that the disk writes no more than
+// twice what is proposed.
+func (l *Log) snapshotDue() bool {
+	return l.machine.CommitIndex() >= l.machine.SnapshotIndex()+snapshotEntries ||
+		l.machine.CommittedBytes() >= max(snapshotBytes, l.machine.SnapshotSize())
+}
+
 // fail stops the member and the process after a failed write or an unreadable state, so that it acknowledges nothing that may not be durable.
 func (l *Log) fail(err error) {
 	l.failed = true
@@ -163,6 +171,7 @@
 		quorumContact: l.machine.LastQuorumContact(now),
 		commit:        l.machine.CommitIndex(),
 		leading:       l.machine.Leading() && !l.failed,
+		entryBytes:    l.machine.HeldBytes(),
 	}
 	if !l.needsJoin() {
 		s.voters = len(l.machine.Members().Voters())
--- /dev/null
+++ b/internal/control/replica/large_edits_test.go
@@ -0,0 +1,96 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"io/fs"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/figpier/figpier"
+)
+
+const (
+	// largeEdits and documentBytes make commands that together exceed the bounds.
+	largeEdits    = 30
+	documentBytes = 2 << 20
+	// maxEntryBytes and maxFolderBytes are a quarter of the memory and of the disk of a control instance.
+	maxEntryBytes  = 280 << 20 / 4
+	maxFolderBytes = 256 << 20 / 4
+)
+
+// newTableEdit returns an edit that replaces routing table number-1 by one with a random document.
+func newTableEdit(number, size int) *figpier.Edit {
+	document := make([]byte, size)
+	random := rand.New(rand.NewPCG(uint64(number), 1))
+	for i := range document {
+		document[i] = byte(' ' + random.IntN(64))
+	}
+	return figpier.NewEdit(figpier.EditConfig{
+		Operation: figpier.OperationID(fmt.Sprint("table-", number)),
+		Kind:      figpier.EditReplaceTable,
+		Base:      figpier.Revision(number - 1),
+		Table:     figpier.NewTable(figpier.TableConfig{Number: uint64(number), Document: document}),
+	})
+}
+
+// folderBytes returns the size of the files of a folder.
+func folderBytes(t *testing.T, folder string) (total int64) {
+	t.Helper()
+	err := filepath.WalkDir(folder, func(path string, e fs.DirEntry, err error) error {
+		if err != nil || e.IsDir() {
+			return err
+		}
+		info, err := os.Stat(path)
+		if os.IsNotExist(err) {
+			return nil
+		}
+		total += info.Size()
+		return err
+	})
+	assert.NilError(t, err)
+	return total
+}
+
+// TestManyLargeEditsOutgrowMemoryAndDisk guards against a log that is bounded by the number of its entries alone: hundreds of changes of
+// a large configuration took control instances over their memory, and again at each start, and their folders grew towards the size of
+// the disk.
+func TestManyLargeEditsOutgrowMemoryAndDisk(t *testing.T) {
+	c := newCluster(t)
+	c.waitForLeader()
+	check := func() {
+		for _, i := range c.instances {
+			held := i.log.published.Load().entryBytes
+			assert.Assert(t, held <= maxEntryBytes, "%s holds entries of %d MB", i.name, held>>20)
+			stored := folderBytes(t, i.folder)
+			assert.Assert(t, stored <= maxFolderBytes, "the folder of %s has %d MB", i.name, stored>>20)
+		}
+	}
+	for n := 1; n <= largeEdits; n++ {
+		c.eventually(fmt.Sprintf("table %d is accepted", n), func() bool {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := c.instances[n%3].catalog.Submit(ctx, newTableEdit(n, documentBytes))
+			return err == nil
+		})
+		check()
+	}
+	for _, i := range c.instances {
+		i.stop()
+	}
+	for _, i := range c.instances {
+		i.start()
+	}
+	for _, i := range c.instances {
+		c.eventually(string(i.name)+" has the last table", func() bool {
+			table := i.catalog.Configuration().Table()
+			return table != nil && table.Number() == largeEdits
+		})
+	}
+	check()
+}
--- a/internal/control/replica/service.go
+++ b/internal/control/replica/service.go
@@ -31,8 +31,11 @@
 	handOverTimeout   = time.Second
 	appendBatchBytes  = 256 << 10
 	snapshotPartBytes = 64 << 10
-	trailingEntries   = 500  // kept in memory before the end of a snapshot, for followers that are behind
-	snapshotEntries   = 1000 // applied between two snapshots
+	trailingEntries   = 500     // kept in memory before the end of a snapshot, for followers that are behind
+	trailingBytes     = 8 << 20 // the size of these at most
+	snapshotEntries   = 1000    // applied between two snapshots
+	snapshotBytes     = 4 << 20 // the size of these entries at which a snapshot is due, if the state is not larger
+	uncommittedBytes  = 8 << 20
 	// incarnationLength is in characters of 5 random bits. It is kept short because every message names two incarnations.
 	incarnationLength = 12
 )
@@ -77,6 +80,8 @@
 	// commit is the index of the last committed entry.
 	commit  uint64
 	leading bool
+	// entryBytes is the size of the entries in memory.
+	entryBytes int
 	// voters is the number of voters, 0 while this member has to join.
 	voters int
 	// peers are the addresses of the other members.
@@ -188,21 +193,23 @@
 func (l *Log) newMachine() *raft.Machine {
 	seed := random.NewPCG(random.Uint64(), random.Uint64())
 	return raft.New(raft.Config{
-		Self:            l.disk.Member(),
-		Address:         l.config.Address,
-		Heartbeat:       l.config.Heartbeat,
-		ElectionTimeout: l.config.ElectionTimeout,
-		LearnerTimeout:  learnerTimeout,
-		TargetVoters:    l.config.TargetVoters,
-		VoterTimeout:    voterTimeout,
-		BatchBytes:      appendBatchBytes,
-		PartBytes:       snapshotPartBytes,
-		TrailingEntries: trailingEntries,
-		Random:          random.New(seed),
-		Now:             l.clock.Now(),
-		State:           l.disk.State(),
-		Snapshot:        l.disk.Snapshot(),
-		Entries:         l.disk.Entries(),
+		Self:             l.disk.Member(),
+		Address:          l.config.Address,
+		Heartbeat:        l.config.Heartbeat,
+		ElectionTimeout:  l.config.ElectionTimeout,
+		LearnerTimeout:   learnerTimeout,
+		TargetVoters:     l.config.TargetVoters,
+		VoterTimeout:     voterTimeout,
+		BatchBytes:       appendBatchBytes,
+		PartBytes:        snapshotPartBytes,
+		TrailingEntries:  trailingEntries,
+		TrailingBytes:    trailingBytes,
+		UncommittedBytes: uncommittedBytes,
+		Random:           random.New(seed),
+		Now:              l.clock.Now(),
+		State:            l.disk.State(),
+		Snapshot:         l.disk.Snapshot(),
+		Entries:          l.disk.Entries(),
 	})
 }
 
@@ -228,6 +235,9 @@
 	c.Gauge("figpier_log_commit_index", func() float64 {
 		return float64(l.published.Load().commit)
 	})
+	c.Gauge("figpier_log_entry_bytes", func() float64 {
+		return float64(l.published.Load().entryBytes)
+	})
 	c.Gauge("figpier_log_voters", func() float64 {
 		return float64(l.published.Load().voters)
 	})
--- a/internal/policy/raft/entry.go
+++ b/internal/policy/raft/entry.go
@@ -13,6 +13,9 @@
 	EntryMembers EntryKind = "members"
 )
 
+// entryOverheadBytes is the memory of an entry without its command.
+const entryOverheadBytes = 128
+
 // EntryConfig builds an Entry.
 type EntryConfig struct {
 	// Index is the position in the log, starting at 1.
@@ -55,6 +58,11 @@
 // Command returns the encoded command of an EntryCommand, which the caller must not modify.
 func (e *Entry) Command() []byte { return e.config.Command }
 
+// Size returns the bytes of memory that the entry takes beside its membership.
+func (e *Entry) Size() int {
+	return entryOverheadBytes + len(e.config.Proposal) + len(e.config.Command)
+}
+
 // Members returns the membership of an EntryMembers, nil for other kinds.
 func (e *Entry) Members() *Members { return e.config.Members }
 
--- a/internal/policy/raft/log.go
+++ b/internal/policy/raft/log.go
@@ -63,13 +63,13 @@
 	return l.entries[after-l.baseIndex : upTo-l.baseIndex]
 }
 
-// batch returns the entries from an index on whose commands are together no larger than limit bytes. The first entry is
-// always included, whatever its size.
+// batch returns the entries from an index on whose sizes are together no larger than limit bytes. The first entry is always
+// included, whatever its size.
 func (l *log) batch(from uint64, limit int) []*Entry {
 	size := 0
 	end := from
 	for end <= l.lastIndex() {
-		size += len(l.entryAt(end).Command())
+		size += l.entryAt(end).Size()
 		if size > limit && end > from {
 			break
 		}
@@ -91,14 +91,20 @@
 	l.updateMembers()
 }
 
-// compact records a snapshot of an entry that is held and drops the entries that it covers, except for the last trailing
-// ones. These spare followers that lag a little from receiving the snapshot.
-func (l *log) compact(s *Snapshot, trailing uint64) {
+// compact records a snapshot of an entry that is held and drops the entries that it covers, except for the last ones within
+// the limits. These spare followers that lag a little from receiving the snapshot.
+func (l *log) compact(s *Snapshot, limits trailingLimits) {
 	l.snapshot = s
-	if s.Index() <= l.baseIndex+trailing {
+	base := s.Index()
+	for size := 0; base > l.baseIndex && s.Index()-base < limits.entries; base-- {
+		size += l.entryAt(base).Size()
+		if limits.bytes > 0 && size > limits.bytes {
+			break
+		}
+	}
+	if base == l.baseIndex {
 		return
 	}
-	base := s.Index() - trailing
 	members := l.membersAt(base)
 	term, _ := l.termAt(base)
 	l.entries = append([]*Entry(nil), l.between(base, l.lastIndex())...)
@@ -107,6 +113,22 @@
 	l.baseMembers = members
 }
 
+// trailingLimits bounds the entries before the end of a snapshot that stay in memory.
+type trailingLimits struct {
+	entries uint64
+	// bytes bounds the total of Entry.Size, 0 for no bound.
+	bytes int
+}
+
+// size returns the total of Entry.Size of the entries with after < index <= upTo, all of which the log must hold.
+func (l *log) size(after, upTo uint64) int {
+	total := 0
+	for _, e := range l.between(after, upTo) {
+		total += e.Size()
+	}
+	return total
+}
+
 // membersAt returns the membership in effect at an index.
 func (l *log) membersAt(index uint64) *Members {
 	for i := index; i > l.baseIndex; i-- {
--- a/internal/policy/raft/machine.go
+++ b/internal/policy/raft/machine.go
@@ -41,8 +41,13 @@
 	BatchBytes int
 	// PartBytes limits the size of the part of a snapshot in one message.
 	PartBytes int
-	// TrailingEntries is the number of entries before the end of a snapshot that stay in memory for followers that lag behind.
+	// TrailingEntries limits the number of entries before the end of a snapshot that stay in memory for followers that lag behind.
 	TrailingEntries uint64
+	// TrailingBytes limits the total size of these entries, 0 for no limit.
+	TrailingBytes int
+	// UncommittedBytes limits the total size of the entries that a leader accepts before they are committed, except that one
+	// is always accepted; 0 for no limit.
+	UncommittedBytes int
 	// Random draws the election timeouts.
 	Random *rand.Rand
 	// Now is the time at which the member starts.
@@ -64,6 +69,8 @@
 	log    *log
 	// commitIndex is the index of the last entry known to be committed.
 	commitIndex uint64
+	// committedBytes is the total size of the entries that were committed since the newest snapshot or the start.
+	committedBytes int
 	// durableIndex is the index of the last entry known to be on this member's disk.
 	durableIndex uint64
 	// leader is the leader of the current term, empty if unknown.
@@ -159,12 +166,16 @@
 	}
 }
 
-// Propose appends a command to the log under the proposer's identifier, or returns a NotLeaderError. The command is
-// accepted only once it is among the committed entries: a later leader may discard it before.
+// Propose appends a command to the log under the proposer's identifier. It returns a NotLeaderError, or a LogFullError while
+// the entries that are not committed yet reach Config.UncommittedBytes. The command is accepted only once it is among the
+// committed entries: a later leader may discard it before.
 func (m *Machine) Propose(now time.Time, proposal string, command []byte) error {
 	if m.role != leader {
 		return figpier.NewNotLeaderError(m.Leader())
 	}
+	if n := m.log.size(m.commitIndex, m.log.lastIndex()); m.config.UncommittedBytes > 0 && n >= m.config.UncommittedBytes {
+		return figpier.NewLogFullError(n)
+	}
 	m.appendEntry(EntryConfig{Kind: EntryCommand, Proposal: proposal, Command: command})
 	m.sendToIdleFollowers(now)
 	return nil
@@ -196,7 +207,8 @@
 		Members: m.log.membersAt(m.commitIndex),
 		Data:    data,
 	})
-	m.log.compact(s, m.config.TrailingEntries)
+	m.log.compact(s, trailingLimits{entries: m.config.TrailingEntries, bytes: m.config.TrailingBytes})
+	m.committedBytes = 0
 	m.effects.snapshot = s
 	m.effects.retained = slices.Clone(m.log.between(s.Index(), m.log.lastIndex()))
 }
@@ -225,6 +237,20 @@
 // CommitIndex returns the index of the last entry that this member knows to be committed.
 func (m *Machine) CommitIndex() uint64 { return m.commitIndex }
 
+// CommittedBytes returns the total size of the entries that were committed since the newest snapshot or the start.
+func (m *Machine) CommittedBytes() int { return m.committedBytes }
+
+// SnapshotSize returns the number of bytes of the newest snapshot's data, 0 without a snapshot.
+func (m *Machine) SnapshotSize() int {
+	if m.log.snapshot == nil {
+		return 0
+	}
+	return len(m.log.snapshot.Data())
+}
+
+// HeldBytes returns the total size of the entries in memory.
+func (m *Machine) HeldBytes() int { return m.log.size(m.log.baseIndex, m.log.lastIndex()) }
+
 // SnapshotIndex returns the index of the last entry that the newest snapshot covers, 0 without a snapshot.
 func (m *Machine) SnapshotIndex() uint64 {
 	if m.log.snapshot == nil {
@@ -296,5 +322,6 @@
 		return
 	}
 	m.effects.committed = append(m.effects.committed, m.log.between(m.commitIndex, to)...)
+	m.committedBytes += m.log.size(m.commitIndex, to)
 	m.commitIndex = to
 }
--- a/internal/policy/raft/snapshot_transfer.go
+++ b/internal/policy/raft/snapshot_transfer.go
@@ -93,6 +93,7 @@
 	m.incoming = nil
 	m.log.reset(s)
 	m.commitIndex = s.Index()
+	m.committedBytes = 0
 	m.durableIndex = 0
 	m.effects.snapshot = s
 	m.effects.retained = nil
