Bound the routing tables that a control instance keeps by their size

Old tables are kept without their documents and up to 8 MB together, the differences up to 4 MB, and a table that is made by a difference shares the unchanged routes, services and accounts with its base. A node whose table is no longer kept gets the whole one, as before.

--- a/internal/control/subscription/history.go
+++ b/internal/control/subscription/history.go
@@ -1,6 +1,7 @@
 package subscription
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/figpier/figpier"
@@ -12,9 +13,18 @@
 // configuration.
 const maxRemovals = 8192
 
-// maxTables is the number of routing tables that the history keeps, current one included; a node that has an older one gets the
-// whole table.
-const maxTables = 32
+// maxTables and maxTableBytes limit the number and the total size of the routing tables that the history keeps, the current one
+// included, which is always kept; a node that has an older one gets the whole table.
+const (
+	maxTables     = 32
+	maxTableBytes = 8 << 20
+)
+
+// maxChangeBytes limits the total size of the differences between tables that the history keeps for further nodes.
+const maxChangeBytes = 4 << 20
+
+// changeItemBytes is the memory that an item of a difference takes.
+const changeItemBytes = 256
 
 // removal is a profile or key that is no longer in the configuration.
 type removal struct {
@@ -33,10 +43,12 @@
 	current *figpier.Configuration
 	// removals are in the order of their revisions.
 	removals []removal
-	// tables are the latest routing tables, the current one last.
+	// tables are the latest routing tables without their documents, the current one last.
 	tables []*figpier.Table
 	// tableChanges holds the differences from earlier tables to the current one, by the number of the earlier table.
 	tableChanges map[uint64]*message.TableDelta
+	// changeBytes is the size of tableChanges.
+	changeBytes int
 	// changed is closed when the next configuration is installed.
 	changed chan struct{}
 }
@@ -63,11 +75,23 @@
 	if t == nil || len(h.tables) > 0 && h.tables[len(h.tables)-1].Number() == t.Number() {
 		return
 	}
-	h.tables = append(h.tables, t)
-	if len(h.tables) > maxTables {
-		h.tables = h.tables[1:]
-	}
+	h.tables = append(h.tables, t.WithoutDocument())
+	h.dropOldTables()
 	h.tableChanges = map[uint64]*message.TableDelta{}
+	h.changeBytes = 0
+}
+
+// dropOldTables drops the oldest tables beyond the limits; the mutex must be held.
+func (h *history) dropOldTables() {
+	size, first := 0, len(h.tables)
+	for first > 0 && len(h.tables)-first < maxTables {
+		size += h.tables[first-1].Size()
+		if size > maxTableBytes && first < len(h.tables) {
+			break
+		}
+		first--
+	}
+	h.tables = slices.Clone(h.tables[first:])
 }
 
 // tableChange returns the difference from the table with a number to the current one, nil if that table is not kept or
@@ -84,12 +108,45 @@
 		if err != nil {
 			return nil
 		}
-		h.tableChanges[number] = &d
+		h.storeChange(number, &d)
 		return &d
 	}
 	return nil
 }
 
+// storeChange keeps the difference from the table with a number, in place of the others if these are too large together; the mutex
+// must be held.
+func (h *history) storeChange(number uint64, d *message.TableDelta) {
+	size := changeSize(d)
+	if h.changeBytes+size > maxChangeBytes {
+		h.tableChanges = map[uint64]*message.TableDelta{}
+		h.changeBytes = 0
+	}
+	h.tableChanges[number] = d
+	h.changeBytes += size
+}
+
+// changeSize returns about how many bytes of memory a difference takes.
+func changeSize(d *message.TableDelta) int {
+	items := 0
+	for _, r := range d.Routes {
+		items++
+		for _, route := range r.Added {
+			items += 1 + len(route.Parts)
+		}
+	}
+	for _, r := range d.Services {
+		items += 1 + len(r.Added)
+	}
+	for _, r := range d.Accounts {
+		items++
+		for _, a := range r.Added {
+			items += 1 + len(a.Keys)
+		}
+	}
+	return items * changeItemBytes
+}
+
 // recordRemovals records the profiles and keys that a newer configuration no longer has; the mutex must be held.
 func (h *history) recordRemovals(c *figpier.Configuration) {
 	for name := range h.current.Profiles() {
--- a/internal/control/subscription/history_test.go
+++ b/internal/control/subscription/history_test.go
@@ -156,3 +156,51 @@
 	_, err = codec.ApplyDelta(figpier.NewConfiguration(figpier.ConfigurationConfig{Revision: 1}), *d)
 	assert.ErrorContains(t, err, "not the one here")
 }
+
+// TestOldTablesOfManyRoutesTakeLittleMemory guards against a history that keeps a number of routing tables whatever their size: with many
+// routes these, and the differences between them, were a large part of the memory of a control instance.
+func TestOldTablesOfManyRoutesTakeLittleMemory(t *testing.T) {
+	const routes = 2000
+	newTable := func(number int) *figpier.Table {
+		c := figpier.TableConfig{Number: uint64(number), Revision: figpier.Revision(number), Document: make([]byte, 1<<20)}
+		for i := range routes {
+			c.Routes = append(c.Routes, figpier.NewHostRoute(figpier.HostRouteConfig{
+				Name:       fmt.Sprint("r-", i),
+				Host:       "a.example",
+				PathPrefix: fmt.Sprintf("/p%d/", i),
+				Timeout:    time.Duration(number) * time.Second,
+				Parts:      []figpier.RoutePart{figpier.NewRoutePart(figpier.RoutePartConfig{Service: "s", Weight: 1})},
+			}))
+		}
+		return figpier.NewTable(c)
+	}
+	h := newHistory()
+	for number := 1; number <= maxTables; number++ {
+		h.install(figpier.NewConfiguration(figpier.ConfigurationConfig{Revision: figpier.Revision(number), Table: newTable(number)}))
+		kept := 0
+		for _, k := range h.tables {
+			kept += k.Size()
+			assert.Equal(t, len(k.Document()), 0)
+		}
+		assert.Assert(t, kept <= maxTableBytes, "%d tables of %d bytes", len(h.tables), kept)
+		for base := max(1, number-2); base <= number; base++ {
+			d, ok := h.since(figpier.Revision(base), uint64(base))
+			assert.Assert(t, ok)
+			assert.Assert(t, base == number || (d.Table == nil) != (d.Changed.Table == nil))
+			changes := 0
+			for _, c := range h.tableChanges {
+				changes += changeSize(c)
+			}
+			assert.Assert(t, changes <= maxChangeBytes, "%d differences of %d bytes", len(h.tableChanges), changes)
+		}
+	}
+	d, ok := h.since(maxTables-1, maxTables-1)
+	assert.Assert(t, ok)
+	assert.Assert(t, d.Table != nil, "the table before the current one is kept")
+
+	// The current table is kept whatever its size.
+	h.install(figpier.NewConfiguration(figpier.ConfigurationConfig{Revision: maxTables + 1, Table: figpier.NewTable(figpier.TableConfig{
+		Number: maxTables + 1, Revision: maxTables + 1, Routes: slices.Repeat(newTable(1).Config().Routes, 20),
+	})}))
+	assert.Equal(t, len(h.tables), 1)
+}
--- a/internal/wire/codec/table.go
+++ b/internal/wire/codec/table.go
@@ -107,11 +107,7 @@
 		c.Routes = append(c.Routes, toHostRoute(r))
 	}
 	for _, s := range m.Services {
-		c.Services = append(c.Services, figpier.NewTableService(figpier.TableServiceConfig{
-			Name:           figpier.UpstreamService(s.Name),
-			HealthPath:     s.HealthPath,
-			MaxConnections: s.MaxConnections,
-		}))
+		c.Services = append(c.Services, toTableService(s))
 	}
 	for _, w := range m.Accounts {
 		a, err := toAccount(w)
@@ -144,6 +140,14 @@
 	return figpier.NewHostRoute(c)
 }
 
+func toTableService(m message.TableService) *figpier.TableService {
+	return figpier.NewTableService(figpier.TableServiceConfig{
+		Name:           figpier.UpstreamService(m.Name),
+		HealthPath:     m.HealthPath,
+		MaxConnections: m.MaxConnections,
+	})
+}
+
 func toAccount(m message.Account) (*figpier.Account, error) {
 	c := figpier.AccountConfig{Customer: figpier.CustomerID(m.Customer), Limit: toLimit(m.Limit)}
 	for _, text := range m.Keys {
--- a/internal/wire/codec/tabledelta.go
+++ b/internal/wire/codec/tabledelta.go
@@ -69,29 +69,34 @@
 	return d, nil
 }
 
-// ApplyTableChange returns the routing table that a difference makes of its base, without a document. It fails if base is
+// ApplyTableChange returns the routing table that a difference makes of its base, without a document. It shares what is unchanged with
+// the base. It fails if base is
 // another table than that of the difference, or if the result is not the table that the sender has.
 func ApplyTableChange(base *figpier.Table, d message.TableDelta) (*figpier.Table, error) {
 	if base == nil || base.Number() != uint64(d.Base) {
 		return nil, Error.New("the difference is from table %d, which is not the one here", d.Base)
 	}
-	w, next := fromTableWithoutDocument(base), d.Head
-	var err error
-	if next.Routes, err = applyRuns(w.Routes, routeRuns(d.Routes)); err != nil {
+	head, err := ToTable(d.Head)
+	if err != nil {
 		return nil, err
 	}
-	if next.Services, err = applyRuns(w.Services, serviceRuns(d.Services)); err != nil {
+	from, c := base.Config(), head.Config()
+	if c.Routes, err = applyRuns(from.Routes, routeRuns(d.Routes)); err != nil {
 		return nil, err
 	}
-	if next.Accounts, err = applyRuns(w.Accounts, accountRuns(d.Accounts)); err != nil {
+	if c.Services, err = applyRuns(from.Services, serviceRuns(d.Services)); err != nil {
 		return nil, err
 	}
-	t, err := ToTable(next)
+	accounts, err := accountRuns(d.Accounts)
 	if err != nil {
 		return nil, err
 	}
+	if c.Accounts, err = applyRuns(from.Accounts, accounts); err != nil {
+		return nil, err
+	}
+	t := figpier.NewTable(c)
 	if digest := tableDigest(fromTableWithoutDocument(t)); digest != d.Digest {
-		return nil, Error.New("the difference from table %d to table %d makes a table of digest %s, not %s", d.Base, next.Number, digest, d.Digest)
+		return nil, Error.New("the difference from table %d to table %d makes a table of digest %s, not %s", d.Base, t.Number(), digest, d.Digest)
 	}
 	return t, nil
 }
@@ -141,26 +146,42 @@
 
 func splitDocument(document []byte) []string { return strings.SplitAfter(string(document), pieceEnd) }
 
-func routeRuns(list []message.RouteRun) []listRun[message.HostRoute] {
-	runs := make([]listRun[message.HostRoute], 0, len(list))
+func routeRuns(list []message.RouteRun) []listRun[*figpier.HostRoute] {
+	runs := make([]listRun[*figpier.HostRoute], 0, len(list))
 	for _, w := range list {
-		runs = append(runs, listRun[message.HostRoute]{from: w.From, count: w.Count, added: w.Added})
+		r := listRun[*figpier.HostRoute]{from: w.From, count: w.Count}
+		for _, m := range w.Added {
+			r.added = append(r.added, toHostRoute(m))
+		}
+		runs = append(runs, r)
 	}
 	return runs
 }
 
-func serviceRuns(list []message.ServiceRun) []listRun[message.TableService] {
-	runs := make([]listRun[message.TableService], 0, len(list))
+func serviceRuns(list []message.ServiceRun) []listRun[*figpier.TableService] {
+	runs := make([]listRun[*figpier.TableService], 0, len(list))
 	for _, w := range list {
-		runs = append(runs, listRun[message.TableService]{from: w.From, count: w.Count, added: w.Added})
+		r := listRun[*figpier.TableService]{from: w.From, count: w.Count}
+		for _, m := range w.Added {
+			r.added = append(r.added, toTableService(m))
+		}
+		runs = append(runs, r)
 	}
 	return runs
 }
 
-func accountRuns(list []message.AccountRun) []listRun[message.Account] {
-	runs := make([]listRun[message.Account], 0, len(list))
+func accountRuns(list []message.AccountRun) ([]listRun[*figpier.Account], error) {
+	runs := make([]listRun[*figpier.Account], 0, len(list))
 	for _, w := range list {
-		runs = append(runs, listRun[message.Account]{from: w.From, count: w.Count, added: w.Added})
+		r := listRun[*figpier.Account]{from: w.From, count: w.Count}
+		for _, m := range w.Added {
+			a, err := toAccount(m)
+			if err != nil {
+				return nil, err
+			}
+			r.added = append(r.added, a)
+		}
+		runs = append(runs, r)
 	}
-	return runs
+	return runs, nil
 }
--- a/table.go
+++ b/table.go
@@ -210,6 +210,15 @@
 	Document []byte
 }
 
+// The memory in bytes that the parts of a table take beside their texts, the indexes of the table included.
+const (
+	routeOverheadBytes   = 256
+	partOverheadBytes    = 32
+	serviceOverheadBytes = 64
+	accountOverheadBytes = 192
+	keyOverheadBytes     = 96
+)
+
 // Table is the routing table, which holds the settings of all hosts, services and customers.
 type Table struct {
 	config             TableConfig
@@ -245,6 +254,31 @@
 // Config returns a copy of the arguments, for encoding or building a changed table.
 func (t *Table) Config() TableConfig { return t.config }
 
+// WithoutDocument returns the table without the document that the operator submitted. It shares everything else with t.
+func (t *Table) WithoutDocument() *Table {
+	other := *t
+	other.config.Document = nil
+	return &other
+}
+
+// Size returns about how many bytes of memory the table takes.
+func (t *Table) Size() int {
+	total := len(t.config.Document)
+	for _, r := range t.config.Routes {
+		total += routeOverheadBytes + len(r.Name()) + len(r.Host()) + len(r.PathPrefix())
+		for _, p := range r.Parts() {
+			total += partOverheadBytes + len(p.Service())
+		}
+	}
+	for _, s := range t.config.Services {
+		total += serviceOverheadBytes + len(s.Name()) + len(s.HealthPath())
+	}
+	for _, a := range t.config.Accounts {
+		total += accountOverheadBytes + len(a.Customer()) + keyOverheadBytes*len(a.Keys())
+	}
+	return total
+}
+
 // Number returns the version that the operator gave the table.
 func (t *Table) Number() uint64 { return t.config.Number }
 
