Bound and compress what is on the way to another control instance

A heartbeat that was answered before a large entry made the leader send the entry again, every 100 ms, and a message had 500 ms for any size: one that needs longer closed the connection and was never stored, so that nothing was committed any more (by reading).

The time-out grows with the size. Commands of 4 KB and more travel compressed to members that say that they read this, in a field that earlier builds pass over; to these they go as before, and a member that gets one by mistake refuses the message, as the mark is no base64. Folders are written as before. A commit is sent to the members before this one applies it, which takes tens of milliseconds.

--- a/internal/control/disk/disk.go
+++ b/internal/control/disk/disk.go
@@ -175,7 +175,8 @@
 	state := codec.FromReplicaState(s)
 	payload, err := json.Marshal(message.ReplicaRecord{
 		State:   &state,
-		Entries: codec.FromReplicaEntries(entries),
+		// Not compressed, so that an earlier build can read the folder.
+		Entries: codec.FromReplicaEntries(entries, false),
 	})
 	return payload, Error.Wrap(err)
 }
--- a/internal/control/replica/cluster_test.go
+++ b/internal/control/replica/cluster_test.go
@@ -127,6 +127,8 @@
 	log     *Log
 	catalog *catalog.Catalog
 	stop    func()
+	// newMessenger returns the messenger for the instance's endpoint.
+	newMessenger func(endpoint) figpier.Messenger
 	// full makes the disk refuse all writes.
 	full atomic.Bool
 }
@@ -150,9 +152,10 @@
 		name := figpier.InstanceID(fmt.Sprintf("c%d", i))
 		c.peers = append(c.peers, PeerConfig{Instance: name, Address: string(name)})
 		c.instances = append(c.instances, &instance{
-			cluster: c,
-			name:    name,
-			folder:  filepath.Join(folder, string(name)),
+			cluster:      c,
+			name:         name,
+			folder:       filepath.Join(folder, string(name)),
+			newMessenger: func(e endpoint) figpier.Messenger { return &e },
 		})
 	}
 	for _, i := range c.instances {
@@ -174,7 +177,7 @@
 	i.catalog = catalog.New()
 	i.log.SetStateMachine(i.catalog)
 	k := registry.New(registry.Config{Clock: system.Clock{}})
-	assert.NilError(i.cluster.t, k.Register(&endpoint{network: i.cluster.network, address: string(i.name)}))
+	assert.NilError(i.cluster.t, k.Register(i.newMessenger(endpoint{network: i.cluster.network, address: string(i.name)})))
 	assert.NilError(i.cluster.t, k.Register(i.log))
 	assert.NilError(i.cluster.t, k.Register(i.catalog))
 	ready := &startProbe{started: make(chan struct{})}
--- a/internal/control/replica/handle.go
+++ b/internal/control/replica/handle.go
@@ -81,8 +81,9 @@
 func (l *Log) processEffects(now time.Time) {
 	for !l.failed {
 		e := l.machine.TakeEffects()
-		l.apply(e)
+		// Sent first, so that the other members learn of a commit before this one takes the time to apply it.
 		l.sendOrQueue(e)
+		l.apply(e)
 		if !l.compact() {
 			break
 		}
--- a/internal/control/replica/remote.go
+++ b/internal/control/replica/remote.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"time"
 
 	"github.com/figpier/figpier"
@@ -29,6 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.sender.setCompression(w.ReplyTo, w.Compression != nil && *w.Compression)
 	return message.ReplicaReceived{}, l.control.Post(messageReceived{message: m})
 }
 
@@ -37,7 +37,7 @@
 	if err := decode(&w); err != nil {
 		return nil, err
 	}
-	command, err := base64.StdEncoding.DecodeString(w.Command)
+	command, err := codec.ToCommand(w.Command)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -105,12 +105,12 @@
 
 // forward sends a proposal to the leader and posts the outcome.
 func (l *Log) forward(address, id string, command []byte) {
-	ctx, cancel := context.WithTimeout(l.runContext, requestTimeout)
+	ctx, cancel := context.WithTimeout(l.runContext, transferTimeout(len(command)))
 	defer cancel()
 	f := forwardFinished{id: id}
 	w := message.ReplicaProposal{
 		Proposal: id,
-		Command:  base64.StdEncoding.EncodeToString(command),
+		Command:  codec.FromCommand(command, l.sender.readsCompression(address)),
 	}
 	f.err = l.messenger.Request(ctx, address, figpier.MethodPropose, w, &f.verdict)
 	_ = l.control.Post(f)
--- a/internal/control/replica/sender.go
+++ b/internal/control/replica/sender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/figpier/figpier"
 	"github.com/figpier/figpier/internal/policy/raft"
@@ -10,8 +11,14 @@
 	"github.com/figpier/figpier/internal/wire/message"
 )
 
-// maxInFlight limits the unanswered messages to one address. Messages beyond it are dropped; the protocol repeats lost messages.
-const maxInFlight = 16
+const (
+	// maxInFlight and maxInFlightBytes limit the number of unanswered messages to one address and the size of what they carry. Messages
+	// beyond that are dropped, as the protocol repeats lost messages; one is always sent, whatever its size.
+	maxInFlight      = 16
+	maxInFlightBytes = 1 << 20
+	// slowestBytesPerSecond is the slowest transfer that a large message still has time for.
+	slowestBytesPerSecond = 4 << 20
+)
 
 // sender sends messages to other members, each on its own goroutine.
 type sender struct {
@@ -19,46 +26,80 @@
 	messenger figpier.Messenger
 
 	mu sync.Mutex
-	// inFlight is the number of unanswered messages by address.
-	inFlight map[string]int
+	// inFlight is the load of unanswered messages by address.
+	inFlight map[string]load
+	// compression holds the addresses whose last message said that they read compressed commands.
+	compression map[string]bool
+}
+
+// load is the number of messages and the size of what they carry.
+type load struct {
+	messages int
+	bytes    int
 }
 
 func newSender(ctx context.Context, m figpier.Messenger) *sender {
-	return &sender{ctx: ctx, messenger: m, inFlight: map[string]int{}}
+	return &sender{ctx: ctx, messenger: m, inFlight: map[string]load{}, compression: map[string]bool{}}
 }
 
 func (s *sender) send(messages []*raft.Message) {
 	for _, m := range messages {
-		if s.acquire(m.Address()) {
-			go s.deliver(m)
+		if size := m.Size(); s.acquire(m.Address(), size) {
+			go s.deliver(m, size)
 		}
 	}
 }
 
-func (s *sender) deliver(m *raft.Message) {
-	defer s.release(m.Address())
-	ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
+func (s *sender) deliver(m *raft.Message, size int) {
+	defer s.release(m.Address(), size)
+	ctx, cancel := context.WithTimeout(s.ctx, transferTimeout(size))
 	defer cancel()
 	var received message.ReplicaReceived
-	_ = s.messenger.Request(ctx, m.Address(), figpier.MethodReplica, codec.FromReplicaMessage(m), &received)
+	w := codec.FromReplicaMessage(m, s.readsCompression(m.Address()))
+	_ = s.messenger.Request(ctx, m.Address(), figpier.MethodReplica, w, &received)
 }
 
-// acquire counts a message to an address, and returns false when too many are unanswered.
-func (s *sender) acquire(address string) bool {
+// transferTimeout returns the time within which a request that carries a number of bytes must be answered.
+func transferTimeout(size int) time.Duration {
+	return requestTimeout + time.Duration(size)*time.Second/slowestBytesPerSecond
+}
+
+// acquire counts a message to an address, and returns false when too much is unanswered.
+func (s *sender) acquire(address string, size int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inFlight[address] >= maxInFlight {
+	l := s.inFlight[address]
+	if l.messages >= maxInFlight || l.bytes > 0 && size > 0 && l.bytes+size > maxInFlightBytes {
 		return false
 	}
-	s.inFlight[address]++
+	s.inFlight[address] = load{messages: l.messages + 1, bytes: l.bytes + size}
 	return true
 }
 
-func (s *sender) release(address string) {
+func (s *sender) release(address string, size int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inFlight[address]--
-	if s.inFlight[address] == 0 {
+	l := s.inFlight[address]
+	if l.messages == 1 {
 		delete(s.inFlight, address)
+		return
+	}
+	s.inFlight[address] = load{messages: l.messages - 1, bytes: l.bytes - size}
+}
+
+// setCompression records whether the process at an address reads compressed commands, as its latest message says.
+func (s *sender) setCompression(address string, reads bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if reads {
+		s.compression[address] = true
+	} else {
+		delete(s.compression, address)
 	}
 }
+
+func (s *sender) readsCompression(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.compression[address]
+}
--- a/internal/policy/raft/message.go
+++ b/internal/policy/raft/message.go
@@ -84,5 +84,14 @@
 // From returns the member that sent the message.
 func (m *Message) From() MemberID { return m.config.From }
 
+// Size returns the bytes of the entries or of the part of a snapshot that the message carries.
+func (m *Message) Size() int {
+	total := len(m.config.Part)
+	for _, e := range m.config.Entries {
+		total += e.Size()
+	}
+	return total
+}
+
 // Address returns the IP address and port of the receiver.
 func (m *Message) Address() string { return m.config.Address }
--- a/internal/wire/codec/replica.go
+++ b/internal/wire/codec/replica.go
@@ -50,21 +50,21 @@
 	return raft.NewMembers(members...)
 }
 
-// FromReplicaEntry returns the wire form of a log entry, with its command in base64.
-func FromReplicaEntry(e *raft.Entry) message.ReplicaEntry {
+// FromReplicaEntry returns the wire form of a log entry, with its command compressed if the reader can read that.
+func FromReplicaEntry(e *raft.Entry, compress bool) message.ReplicaEntry {
 	return message.ReplicaEntry{
 		Index:    int(e.Index()),
 		Term:     int(e.Term()),
 		Kind:     string(e.Kind()),
 		Proposal: e.Proposal(),
-		Command:  base64.StdEncoding.EncodeToString(e.Command()),
+		Command:  FromCommand(e.Command(), compress),
 		Members:  FromReplicaMembers(e.Members()),
 	}
 }
 
 // ToReplicaEntry converts a log entry from its wire form. Index and term must be at least 1.
 func ToReplicaEntry(m message.ReplicaEntry) (*raft.Entry, error) {
-	command, err := base64.StdEncoding.DecodeString(m.Command)
+	command, err := ToCommand(m.Command)
 	if err != nil {
 		return nil, Error.New("command of entry %d: %w", m.Index, err)
 	}
@@ -81,11 +81,12 @@
 	}), nil
 }
 
-// FromReplicaEntries returns the wire forms of log entries, an empty list for none.
-func FromReplicaEntries(entries []*raft.Entry) []message.ReplicaEntry {
+// FromReplicaEntries returns the wire forms of log entries, an empty list for none, with their commands compressed if the reader can
+// read that.
+func FromReplicaEntries(entries []*raft.Entry, compress bool) []message.ReplicaEntry {
 	list := []message.ReplicaEntry{}
 	for _, e := range entries {
-		list = append(list, FromReplicaEntry(e))
+		list = append(list, FromReplicaEntry(e, compress))
 	}
 	return list
 }
@@ -149,8 +150,9 @@
 }
 
 // FromReplicaMessage returns the wire form of a message between members of the log. The quorum age is rounded up, so that
-// the receiver never takes the sender's state for newer than it is.
-func FromReplicaMessage(m *raft.Message) message.ReplicaMessage {
+// the receiver never takes the sender's state for newer than it is. Commands are compressed if the receiver can read that.
+func FromReplicaMessage(m *raft.Message, compress bool) message.ReplicaMessage {
+	readsCompressed := true
 	c := m.Config()
 	age := unknownAgeMicros
 	if c.QuorumAge != math.MaxInt64 {
@@ -165,7 +167,7 @@
 		Term:            int(c.Term),
 		Index:           int(c.Index),
 		IndexTerm:       int(c.IndexTerm),
-		Entries:         FromReplicaEntries(c.Entries),
+		Entries:         FromReplicaEntries(c.Entries, compress),
 		Commit:          int(c.Commit),
 		Granted:         c.Granted,
 		Force:           c.Force,
@@ -176,6 +178,7 @@
 		Offset:          int(c.Offset),
 		Total:           int(c.Total),
 		Part:            base64.StdEncoding.EncodeToString(c.Part),
+		Compression:     &readsCompressed,
 	}
 }
 
--- a/internal/wire/message/messages.go
+++ b/internal/wire/message/messages.go
@@ -1251,7 +1251,8 @@
 
 // ReplicaEntry is one entry of the replicated log.
 type ReplicaEntry struct {
-	// Command is in base64.
+	// Command is in base64; after a tilde, which only a receiver that said so reads,
+	// it is compressed.
 	Command string `json:"command" msgpack:"command"`
 
 	// Index is the entry's position in the log, from 1.
@@ -1372,6 +1373,9 @@
 	// Commit is the last entry that the leader knows to be committed.
 	Commit int `json:"commit" msgpack:"commit"`
 
+	// Compression is true if the sender reads compressed commands.
+	Compression *bool `json:"compression,omitempty,omitzero" msgpack:"compression,omitempty"`
+
 	// Entries corresponds to the JSON schema field "entries".
 	Entries []ReplicaEntry `json:"entries" msgpack:"entries"`
 
@@ -1499,7 +1503,8 @@
 
 // ReplicaProposal forwards a command to the leader.
 type ReplicaProposal struct {
-	// Command is in base64.
+	// Command is in base64; after a tilde, which only a receiver that said so reads,
+	// it is compressed.
 	Command string `json:"command" msgpack:"command"`
 
 	// Proposal is the proposer's identifier of the command.
