--- a/internal/control/disk/disk.go
+++ b/internal/control/disk/disk.go
@@ -120,11 +120,19 @@
 // State returns the hard state at the time of opening.
 func (d *Disk) State() raft.HardState { return d.state }
 
-// Snapshot returns the snapshot at the time of opening, nil for none.
-func (d *Disk) Snapshot() *raft.Snapshot { return d.snapshot }
+// TakeSnapshot returns the snapshot at the time of opening, nil for none, and forgets it.
+func (d *Disk) TakeSnapshot() *raft.Snapshot {
+	s := d.snapshot
+	d.snapshot = nil
+	return s
+}
 
-// Entries returns the entries after the snapshot at the time of opening.
-func (d *Disk) Entries() []*raft.Entry { return d.entries }
+// TakeEntries returns the entries after the snapshot at the time of opening, and forgets them.
+func (d *Disk) TakeEntries() []*raft.Entry {
+	e := d.entries
+	d.entries = nil
+	return e
+}
 
 // Write makes the writes of effects durable in order. After an error every further call returns the same error.
 func (d *Disk) Write(all []*raft.Effects) error {
@@ -174,7 +182,7 @@
 func encodeRecord(s raft.HardState, entries []*raft.Entry) ([]byte, error) {
 	state := codec.FromReplicaState(s)
 	payload, err := json.Marshal(message.ReplicaRecord{
-		State:   &state,
+		State: &state,
 		// Not compressed, so that an earlier build can read the folder.
 		Entries: codec.FromReplicaEntries(entries, false),
 	})
--- a/internal/control/disk/disk_test.go
+++ b/internal/control/disk/disk_test.go
@@ -25,7 +25,7 @@
 	t.Helper()
 	m := raft.New(raft.Config{
 		Self: d.Member(), Heartbeat: 1, ElectionTimeout: 10, BatchBytes: 1 << 10, PartBytes: 1 << 10,
-		Random: rand.New(rand.NewPCG(1, 2)), State: d.State(), Snapshot: d.Snapshot(), Entries: d.Entries(),
+		Random: rand.New(rand.NewPCG(1, 2)), State: d.State(), Snapshot: d.snapshot, Entries: d.entries,
 	})
 	if m.Cluster() == "" {
 		self := raft.NewMember(raft.MemberConfig{ID: d.Member(), Voter: true})
@@ -49,10 +49,10 @@
 }
 
 func lastIndex(d *Disk) uint64 {
-	if n := len(d.Entries()); n > 0 {
-		return d.Entries()[n-1].Index()
+	if n := len(d.entries); n > 0 {
+		return d.entries[n-1].Index()
 	}
-	return d.Snapshot().Index()
+	return d.snapshot.Index()
 }
 
 func segmentPath(t *testing.T, folder string) string {
@@ -79,7 +79,7 @@
 			writeEffects(t, d, m)
 			assert.NilError(t, d.Close())
 			d = openDisk(t, folder)
-			assert.Equal(t, string(d.Snapshot().Data()), "state")
+			assert.Equal(t, string(d.snapshot.Data()), "state")
 		}
 		term, last = m.Term(), m.CommitIndex()
 		assert.NilError(t, d.Close())
--- a/internal/control/disk/folder.go
+++ b/internal/control/disk/folder.go
@@ -104,26 +104,45 @@
 
 // readRecordFile reads a file with one record. An incomplete record is damage here, as the file got its name after it was written.
 func readRecordFile(path string, v any) error {
-	data, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) {
-		return &DamagedError{file: path, detail: "the file is missing"}
-	}
+	r, closeFile, err := openRecords(path)
 	if err != nil {
-		return Error.Wrap(err)
+		return err
 	}
-	records, end, err := scanRecords(path, data)
+	defer closeFile()
+	only, ok, err := r.next()
 	if err != nil {
 		return err
 	}
-	if len(records) != 1 || end != int64(len(data)) {
-		return &DamagedError{file: path, offset: end, detail: "the file ends early"}
+	if !ok || r.end != r.size {
+		return &DamagedError{file: path, offset: r.end, detail: "the file does not end with its record"}
 	}
-	if err := json.Unmarshal(records[0].payload, v); err != nil {
-		return &DamagedError{file: path, offset: records[0].offset, detail: err.Error()}
+	if err := json.Unmarshal(only.payload, v); err != nil {
+		return &DamagedError{file: path, offset: only.offset, detail: err.Error()}
 	}
 	return nil
 }
 
+// openRecords opens a file for reading its records until closeFile is called.
+func openRecords(path string) (r *recordReader, closeFile func(), err error) {
+	f, err := os.Open(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil, &DamagedError{file: path, detail: "the file is missing"}
+	}
+	if err != nil {
+		return nil, nil, Error.Wrap(err)
+	}
+	closeFile = func() { _ = f.Close() }
+	info, err := f.Stat()
+	if err == nil {
+		r, err = newRecordReader(path, f, info.Size())
+	}
+	if err != nil {
+		closeFile()
+		return nil, nil, err
+	}
+	return r, closeFile, nil
+}
+
 // folderContents lists the files of a data folder by their names.
 type folderContents struct {
 	identity bool
--- a/internal/control/disk/load.go
+++ b/internal/control/disk/load.go
@@ -18,30 +18,45 @@
 		return &DamagedError{file: d.path(segmentPrefix + "*"), detail: "the folder has an identity but no log"}
 	}
 	path := d.path(slices.Max(c.segments))
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	records, end, err := scanRecords(path, data)
+	end, err := d.replaySegment(path)
 	if err != nil {
 		return err
 	}
-	if len(records) < 2 {
-		return &DamagedError{file: path, offset: end, detail: "the file ends early"}
-	}
-	if err := d.readSegmentHeader(path, records[0]); err != nil {
+	if err := d.openSegment(path, end); err != nil {
 		return err
 	}
-	for _, r := range records[1:] {
-		if err := d.replayRecord(path, r); err != nil {
-			return err
+	return d.removeObsolete(snapshotName(d.firstIndex() - 1))
+}
+
+// replaySegment reads a segment, and the snapshot that it names, and returns the offset at which its last complete record ends.
+func (d *Disk) replaySegment(path string) (end int64, err error) {
+	r, closeFile, err := openRecords(path)
+	if err != nil {
+		return 0, err
+	}
+	defer closeFile()
+	count := 0
+	for ; ; count++ {
+		next, ok, err := r.next()
+		if err != nil {
+			return 0, err
+		}
+		if !ok {
+			break
+		}
+		replay := d.replayRecord
+		if count == 0 {
+			replay = d.readSegmentHeader
+		}
+		if err := replay(path, next); err != nil {
+			return 0, err
 		}
 	}
-	d.droppedBytes = int64(len(data)) - end
-	if err := d.openSegment(path, end); err != nil {
-		return err
+	if count < 2 {
+		return 0, &DamagedError{file: path, offset: r.end, detail: "the file ends early"}
 	}
-	return d.removeObsolete(snapshotName(d.firstIndex() - 1))
+	d.droppedBytes = r.size - r.end
+	return r.end, nil
 }
 
 // readSegmentHeader reads the first record of a segment and the snapshot that it names.
--- a/internal/control/disk/record.go
+++ b/internal/control/disk/record.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
+	"io"
 
 	"github.com/zeebo/xxh3"
 )
@@ -50,24 +52,86 @@
 	payload []byte
 }
 
-// scanRecords returns the complete records of a file and the offset at which the last one ends.
-func scanRecords(file string, data []byte) (records []record, end int64, err error) {
-	if len(data) < len(magic) || string(data[:len(magic)]) != magic {
-		return nil, 0, &DamagedError{file: file, detail: "the file does not start with the format's signature"}
-	}
-	end = int64(len(magic))
-	for end < int64(len(data)) {
-		payload, torn, fault := readFrame(data[end:], end)
-		if fault != "" {
-			return nil, 0, &DamagedError{file: file, offset: end, detail: fault}
+// recordReader reads the records of a file one after the other, so that a large file takes no more memory than its largest record.
+type recordReader struct {
+	name string
+	file io.ReaderAt
+	size int64
+	// end is the offset at which the last complete record ends.
+	end int64
+}
+
+// newRecordReader returns a reader of a file's records. It fails with a DamagedError if the file does not begin as one of the format.
+func newRecordReader(name string, file io.ReaderAt, size int64) (*recordReader, error) {
+	r := &recordReader{name: name, file: file, size: size, end: int64(len(magic))}
+	if size >= r.end {
+		start, err := r.read(0, r.end)
+		if err != nil {
+			return nil, err
 		}
-		if torn {
-			return records, end, nil
+		if string(start) == magic {
+			return r, nil
+		}
+	}
+	return nil, &DamagedError{file: name, detail: "the file does not start with the format's signature"}
+}
+
+// next returns the next complete record, or false if there is none. It fails with a DamagedError for a record that a crash can't have
+// left incomplete.
+func (r *recordReader) next() (next record, ok bool, err error) {
+	if r.end >= r.size {
+		return record{}, false, nil
+	}
+	length, err := r.frameLength()
+	if err != nil {
+		return record{}, false, err
+	}
+	frame, err := r.read(r.end, length)
+	if err != nil {
+		return record{}, false, err
+	}
+	payload, torn, fault := readFrame(frame, r.end)
+	if (torn || fault != "") && r.end+length < r.size {
+		// Whether a crash left the record incomplete depends on all that follows.
+		if frame, err = r.read(r.end, r.size-r.end); err != nil {
+			return record{}, false, err
 		}
-		records = append(records, record{offset: end, payload: payload})
-		end += int64(headerBytes + len(payload))
+		payload, torn, fault = readFrame(frame, r.end)
+	}
+	if fault != "" {
+		return record{}, false, &DamagedError{file: r.name, offset: r.end, detail: fault}
+	}
+	if torn {
+		return record{}, false, nil
+	}
+	next = record{offset: r.end, payload: payload}
+	r.end += int64(headerBytes + len(payload))
+	return next, true, nil
+}
+
+// frameLength returns the length of the next record with its header, or of the header alone if that is not valid; it is at most the rest
+// of the file.
+func (r *recordReader) frameLength() (int64, error) {
+	rest := r.size - r.end
+	if rest <= headerBytes {
+		return rest, nil
+	}
+	header, err := r.read(r.end, headerBytes)
+	if err != nil {
+		return 0, err
+	}
+	if binary.LittleEndian.Uint32(header[4:]) != lengthChecksum(header[:4], r.end) {
+		return headerBytes, nil
+	}
+	return min(headerBytes+int64(binary.LittleEndian.Uint32(header)), rest), nil
+}
+
+func (r *recordReader) read(offset, length int64) ([]byte, error) {
+	data := make([]byte, length)
+	if _, err := r.file.ReadAt(data, offset); err != nil && !errors.Is(err, io.EOF) {
+		return nil, Error.Wrap(err)
 	}
-	return records, end, nil
+	return data, nil
 }
 
 // readFrame reads the record at the start of the rest of a file. It returns torn for a record that a crash left incomplete, and a fault for a damaged one.
--- a/internal/control/replica/service.go
+++ b/internal/control/replica/service.go
@@ -208,8 +208,8 @@
 		Random:           random.New(seed),
 		Now:              l.clock.Now(),
 		State:            l.disk.State(),
-		Snapshot:         l.disk.Snapshot(),
-		Entries:          l.disk.Entries(),
+		Snapshot:         l.disk.TakeSnapshot(),
+		Entries:          l.disk.TakeEntries(),
 	})
 }
 
--- a/internal/policy/raft/machine.go
+++ b/internal/policy/raft/machine.go
@@ -107,6 +107,8 @@
 		log:     newLog(c.Snapshot, c.Entries),
 		effects: &Effects{restore: c.Snapshot},
 	}
+	// The configuration must not keep in memory what the log drops later.
+	m.config.Snapshot, m.config.Entries = nil, nil
 	m.commitIndex = m.log.baseIndex
 	m.durableIndex = m.log.lastIndex()
 	m.electionDeadline = c.Now.Add(m.initialElectionTimeout())
