Keep on the disk that an instance may found the log

Cause: whether an instance may found the log was told by the settings of the running process alone, and a process that is started again is told that it may not. Evidence: the line of the founding is missing at all instances, and one founder of three seeds is left.

A folder that is made at the first start by one of its own seeds now keeps the number of these seeds. Founders must be most of the seeds, now and at the first start: most of the first voters have a log on disk before it holds anything, and lose it only together with the mark, so founders without it are never most of them. A list of seeds that has become shorter does not lower the number.

--- a/internal/control/disk/disk.go
+++ b/internal/control/disk/disk.go
@@ -25,6 +25,9 @@
 	Instance figpier.InstanceID
 	// Incarnation tells the member of a new folder from earlier members of the same instance; an existing folder keeps its own.
 	Incarnation string
+	// FoundingSeeds is kept by a new folder: the number of seeds, this instance among them, if this is the first start of the whole
+	// system, and otherwise 0.
+	FoundingSeeds int
 }
 
 // Disk is the open data folder of one member. After Open, one goroutine at a time may call Write.
@@ -70,11 +73,15 @@
 	if !contents.identity {
 		return d.initialize(contents)
 	}
-	incarnation, err := readIdentity(d.config.Folder, d.config.Instance)
+	identity, err := readIdentity(d.config.Folder, d.config.Instance)
 	if err != nil {
 		return err
 	}
-	d.config.Incarnation = incarnation
+	d.config.Incarnation = identity.Incarnation
+	d.config.FoundingSeeds = 0
+	if identity.FoundingSeeds != nil {
+		d.config.FoundingSeeds = *identity.FoundingSeeds
+	}
 	return d.load(contents)
 }
 
@@ -96,10 +103,11 @@
 	if err := d.startSegment(1, nil, nil); err != nil {
 		return err
 	}
-	identity, err := encodeRecordFile(message.ReplicaIdentity{
-		Instance:    string(d.config.Instance),
-		Incarnation: d.config.Incarnation,
-	})
+	m := message.ReplicaIdentity{Instance: string(d.config.Instance), Incarnation: d.config.Incarnation}
+	if d.config.FoundingSeeds > 0 {
+		m.FoundingSeeds = &d.config.FoundingSeeds
+	}
+	identity, err := encodeRecordFile(m)
 	if err != nil {
 		return err
 	}
@@ -111,6 +119,10 @@
 	return raft.NewMemberID(d.config.Instance, d.config.Incarnation)
 }
 
+// FoundingSeeds returns the number of seeds that the folder was made with at the first start of the whole system, 0 if it was made at
+// another start.
+func (d *Disk) FoundingSeeds() int { return d.config.FoundingSeeds }
+
 // Fresh reports whether Open created the member.
 func (d *Disk) Fresh() bool { return d.fresh }
 
--- a/internal/control/disk/disk_test.go
+++ b/internal/control/disk/disk_test.go
@@ -191,3 +191,20 @@
 	assert.Assert(t, d.Member() != was)
 	assert.NilError(t, d.Close())
 }
+
+// TestFoundersAreKnownByTheirDisks guards against a seed that is killed before the log is founded, and no longer counts as a founder.
+func TestFoundersAreKnownByTheirDisks(t *testing.T) {
+	folder := t.TempDir()
+	open := func(seeds int) int {
+		d, err := Open(Config{Folder: folder, Instance: "c1", Incarnation: "a", FoundingSeeds: seeds})
+		assert.NilError(t, err)
+		defer d.Close()
+		return d.FoundingSeeds()
+	}
+	assert.Equal(t, open(3), 3)
+	assert.Equal(t, open(0), 3)
+	assert.Equal(t, open(5), 3)
+	assert.NilError(t, os.RemoveAll(folder))
+	assert.Equal(t, open(0), 0)
+	assert.Equal(t, open(3), 0)
+}
--- a/internal/control/disk/folder.go
+++ b/internal/control/disk/folder.go
@@ -176,14 +176,13 @@
 
 func snapshotName(index uint64) string { return fmt.Sprintf("%s%016d", snapshotPrefix, index) }
 
-// readIdentity returns the incarnation of the folder's member, or a ForeignFolderError if the folder belongs to another instance.
-func readIdentity(folder string, i figpier.InstanceID) (incarnation string, err error) {
-	var m message.ReplicaIdentity
+// readIdentity returns the identity of the folder's member, or a ForeignFolderError if the folder belongs to another instance.
+func readIdentity(folder string, i figpier.InstanceID) (m message.ReplicaIdentity, err error) {
 	if err := readRecordFile(filepath.Join(folder, identityFile), &m); err != nil {
-		return "", err
+		return m, err
 	}
 	if m.Instance != string(i) {
-		return "", &ForeignFolderError{folder: folder, owner: figpier.InstanceID(m.Instance)}
+		return m, &ForeignFolderError{folder: folder, owner: figpier.InstanceID(m.Instance)}
 	}
-	return m.Incarnation, nil
+	return m, nil
 }
--- a/internal/control/replica/event.go
+++ b/internal/control/replica/event.go
@@ -72,6 +72,12 @@
 	cluster string
 	// leaderAddress is the leader's address for messages, empty when unknown.
 	leaderAddress string
-	// founder says that the instance may take part in founding a log.
+	// founder says that the instance may take part in founding a log, by the settings of its process.
 	founder bool
+	// foundingSeeds is the number of seeds that the instance's data folder was made with at the first start, 0 if it was made later.
+	foundingSeeds int
 }
+
+// mayFound reports whether the instance may take part in founding a log: its process, or an earlier one on the same disk, was a
+// part of the first start.
+func (p peerStatus) mayFound() bool { return p.founder || p.foundingSeeds > 0 }
--- a/internal/control/replica/join.go
+++ b/internal/control/replica/join.go
@@ -21,9 +21,23 @@
 		cluster:       l.machine.Cluster(),
 		leaderAddress: l.machine.LeaderAddress(),
 		founder:       l.config.Founder,
+		foundingSeeds: l.disk.FoundingSeeds(),
 	}
 }
 
+// foundingSeeds returns the number of seeds if this is the first start of the whole system and this instance is one of them, and
+// otherwise 0.
+func (l *Log) foundingSeeds() int {
+	if !l.config.Seeded || !l.config.Founder {
+		return 0
+	}
+	seeds := figpier.NewSet(l.seeds.Seeds()...)
+	if !seeds.Has(l.config.Address) {
+		return 0
+	}
+	return len(seeds.Values())
+}
+
 // needsJoin reports whether this instance is not yet a voter, or is a voter under an old address. One with fixed peers that operators removed does not join again.
 func (l *Log) needsJoin() bool {
 	members := l.machine.Members()
@@ -131,23 +145,24 @@
 
 // mayFound reports whether all seeds answered that they belong to no log, most of them are founders, and the instance at an address has
 // the lowest address among these. An instance that lost its disk is not a founder. If a log had been founded before, most of its voters,
-// which were all seeds, would have it on disk before it holds anything; so one of the founders would belong to it, and there is no second
-// log as long as most seeds are founders.
+// which were all seeds of the first start, would have it on disk before it holds anything; so fewer than half of these are founders
+// without it. There is no second log as long as the founders are most of the seeds, now and at the first start.
 func mayFound(address string, seeds int, answers []peerStatus) bool {
-	founders, lowest := 0, ""
+	founders, lowest, voters := 0, "", seeds
 	for _, p := range answers {
 		if p.cluster != "" {
 			return false
 		}
-		if !p.founder {
+		if !p.mayFound() {
 			continue
 		}
 		founders++
+		voters = max(voters, p.foundingSeeds)
 		if lowest == "" || p.member.Address() < lowest {
 			lowest = p.member.Address()
 		}
 	}
-	return len(answers) == seeds && 2*founders > seeds && lowest == address
+	return len(answers) == seeds && 2*founders > voters && lowest == address
 }
 
 // seedPeers returns the peers whose address is that of a seed.
--- a/internal/control/replica/join_test.go
+++ b/internal/control/replica/join_test.go
@@ -15,6 +15,12 @@
 	}
 	founder := func(address string) peerStatus { return answer(address, true, "") }
 	lost := func(address string) peerStatus { return answer(address, false, "") }
+	// restarted is a founder whose process was started again, on the disk that it had at a first start with so many seeds.
+	restarted := func(address string, seeds int) peerStatus {
+		p := answer(address, false, "")
+		p.foundingSeeds = seeds
+		return p
+	}
 	for name, c := range map[string]struct {
 		answers  []peerStatus
 		seeds    int
@@ -32,6 +38,13 @@
 		"the only one":               {[]peerStatus{founder("a")}, 1, "a"},
 		"the only one lost its disk": {[]peerStatus{lost("a")}, 1, ""},
 		"no seed":                    {nil, 0, ""},
+		"two were started again":     {[]peerStatus{founder("a"), restarted("b", 3), restarted("c", 3)}, 3, "a"},
+		"all were started again":     {[]peerStatus{restarted("a", 3), restarted("b", 3), restarted("c", 3)}, 3, "a"},
+		"one of each":                {[]peerStatus{lost("a"), restarted("b", 3), founder("c")}, 3, "b"},
+		"one restarted, two lost":    {[]peerStatus{lost("a"), restarted("b", 3), lost("c")}, 3, ""},
+		"a restarted one in a log":   {[]peerStatus{restarted("a", 3), restarted("b", 3), answer("c", false, "x")}, 3, ""},
+		"fewer seeds than before":    {[]peerStatus{restarted("a", 3)}, 1, ""},
+		"a minority of those before": {[]peerStatus{restarted("a", 5), restarted("b", 5)}, 2, ""},
 	} {
 		for _, address := range []string{"a", "b", "c"} {
 			assert.Equal(t, mayFound(address, c.seeds, c.answers), address == c.founding, "%s: at %s", name, address)
--- a/internal/control/replica/remote.go
+++ b/internal/control/replica/remote.go
@@ -92,12 +92,16 @@
 	}
 	select {
 	case p := <-q.answer:
-		return &message.ReplicaStatus{
+		s := &message.ReplicaStatus{
 			Member:        codec.FromReplicaMember(p.member),
 			Cluster:       p.cluster,
 			LeaderAddress: p.leaderAddress,
 			Founder:       p.founder,
-		}, nil
+		}
+		if p.foundingSeeds > 0 {
+			s.FoundingSeeds = &p.foundingSeeds
+		}
+		return s, nil
 	case <-ctx.Done():
 		return nil, Error.Wrap(ctx.Err())
 	}
@@ -124,12 +128,16 @@
 	if err := l.messenger.Request(ctx, address, figpier.MethodProbe, message.ReplicaProbe{}, &s); err != nil {
 		return peerStatus{}, err
 	}
-	return peerStatus{
+	p := peerStatus{
 		member:        codec.ToReplicaMember(s.Member),
 		cluster:       s.Cluster,
 		leaderAddress: s.LeaderAddress,
 		founder:       s.Founder,
-	}, nil
+	}
+	if s.FoundingSeeds != nil {
+		p.foundingSeeds = *s.FoundingSeeds
+	}
+	return p, nil
 }
 
 // join asks the leader to add this member. It does not retry: discovery calls it again until the member has joined.
--- a/internal/control/replica/service.go
+++ b/internal/control/replica/service.go
@@ -172,9 +172,10 @@
 		}
 	}
 	l.disk, err = disk.Open(disk.Config{
-		Folder:      l.config.DataFolder,
-		Instance:    l.config.Instance,
-		Incarnation: rand.Text()[:incarnationLength],
+		Folder:        l.config.DataFolder,
+		Instance:      l.config.Instance,
+		Incarnation:   rand.Text()[:incarnationLength],
+		FoundingSeeds: l.foundingSeeds(),
 	})
 	if err != nil {
 		return err
--- a/internal/wire/message/messages.go
+++ b/internal/wire/message/messages.go
@@ -1304,6 +1304,11 @@
 // ReplicaIdentity identifies the incarnation of a control instance that owns a
 // data folder.
 type ReplicaIdentity struct {
+	// FoundingSeeds is the number of seeds, this instance among them, of the first
+	// start of the whole system; it is left out if the folder was made at another
+	// start.
+	FoundingSeeds *int `json:"foundingSeeds,omitempty,omitzero" msgpack:"foundingSeeds,omitempty"`
+
 	// Incarnation corresponds to the JSON schema field "incarnation".
 	Incarnation string `json:"incarnation" msgpack:"incarnation"`
 
@@ -1671,6 +1676,9 @@
 	// Founder is true when the control instance may take part in creating a new log.
 	Founder bool `json:"founder" msgpack:"founder"`
 
+	// FoundingSeeds is that of the data folder's identity.
+	FoundingSeeds *int `json:"foundingSeeds,omitempty,omitzero" msgpack:"foundingSeeds,omitempty"`
+
 	// Leader corresponds to the JSON schema field "leader".
 	Leader string `json:"leader" msgpack:"leader"`
 
