Bound the queued log lines by their size

A line may name what a caller sent, up to the limit of a head, so that they take 64 MB of a machine that has 184.

Lines of 2 MB wait at most; further ones are dropped and counted, as before.

--- a/internal/host/logs/queue.go
+++ b/internal/host/logs/queue.go
@@ -8,8 +8,12 @@
 	"time"
 )
 
-// maxQueuedLines is the capacity of a queue. At a few hundred bytes a line, a full queue takes little memory.
-const maxQueuedLines = 4096
+// maxQueuedLines and maxQueuedBytes limit the number and the total size of the lines in a queue: most have a few hundred bytes, but a line
+// may name what a caller sent.
+const (
+	maxQueuedLines = 4096
+	maxQueuedBytes = 2 << 20
+)
 
 // flushTimeout is how long Flush waits for the output.
 const flushTimeout = 200 * time.Millisecond
@@ -19,6 +23,8 @@
 type Queue struct {
 	output  io.Writer
 	entries chan queueEntry
+	// bytes is the total size of the lines in entries.
+	bytes   atomic.Int64
 	dropped atomic.Int64
 }
 
@@ -38,11 +44,16 @@
 
 // Write implements io.Writer for one whole line, which it copies. It never returns an error.
 func (q *Queue) Write(line []byte) (int, error) {
-	select {
-	case q.entries <- queueEntry{line: append([]byte(nil), line...)}:
-	default:
-		q.dropped.Add(1)
+	size := int64(len(line))
+	if q.bytes.Add(size) <= maxQueuedBytes {
+		select {
+		case q.entries <- queueEntry{line: append([]byte(nil), line...)}:
+			return len(line), nil
+		default:
+		}
 	}
+	q.bytes.Add(-size)
+	q.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -73,6 +84,7 @@
 			continue
 		}
 		line := e.line
+		q.bytes.Add(-int64(len(line)))
 		n := q.dropped.Swap(0)
 		if n > 0 {
 			line = append(fmt.Appendf(nil, "{\"level\":\"warning\",\"msg\":\"log lines were dropped: the output is too slow\",%q:%d}\n", FieldLeftOut, n), line...)
