--- a/internal/policy/raft/bytes_test.go
+++ b/internal/policy/raft/bytes_test.go
@@ -91,22 +91,26 @@
 	assert.Assert(t, errors.As(m.Propose(m.NextTick(), "q", []byte("small")), &full))
 }
 
-// TestEntriesOfTheStartAreFreedBySnapshots guards against a member that keeps the entries and the snapshot of its start in memory for good.
-func TestEntriesOfTheStartAreFreedBySnapshots(t *testing.T) {
+// startFromDisk returns the only member of a log, started from a snapshot and entries, with weak pointers to the snapshot and the first entry.
+func startFromDisk() (m *Machine, snapshot weak.Pointer[Snapshot], entry weak.Pointer[Entry]) {
 	self := NewMemberID("c0", "a")
 	members := NewMembers(NewMember(MemberConfig{ID: self, Address: "c0", Voter: true}))
 	var entries []*Entry
 	for i := range uint64(3) {
 		entries = append(entries, NewEntry(EntryConfig{Index: i + 2, Term: 1, Kind: EntryCommand, Command: make([]byte, 1000)}))
 	}
-	c := Config{
+	s := NewSnapshot(SnapshotConfig{Index: 1, Term: 1, Members: members, Data: make([]byte, 1000)})
+	m = New(Config{
 		Self: self, Address: "c0", Heartbeat: testHeartbeat, ElectionTimeout: testElection, Random: rand.New(rand.NewPCG(1, 1)),
 		Now: time.Unix(1000, 0), BatchBytes: 1 << 10, State: NewHardState(HardStateConfig{Cluster: "log", Term: 1}),
-		Snapshot: NewSnapshot(SnapshotConfig{Index: 1, Term: 1, Members: members, Data: make([]byte, 1000)}), Entries: entries,
-	}
-	oldEntry, oldSnapshot := weak.Make(entries[0]), weak.Make(c.Snapshot)
-	m := New(c)
-	c, entries = Config{}, nil
+		Snapshot: s, Entries: entries,
+	})
+	return m, weak.Make(s), weak.Make(entries[0])
+}
+
+// TestEntriesOfTheStartAreFreedBySnapshots guards against a member that keeps the entries and the snapshot of its start in memory for good.
+func TestEntriesOfTheStartAreFreedBySnapshots(t *testing.T) {
+	m, snapshot, entry := startFromDisk()
 	m.Tick(m.NextTick())
 	for e := m.TakeEffects(); e.HasWrites(); e = m.TakeEffects() {
 		m.WritesDurable(m.NextTick(), e)
@@ -115,7 +119,7 @@
 	m.Compact([]byte("state"))
 	m.TakeEffects()
 	runtime.GC()
-	assert.Assert(t, oldEntry.Value() == nil, "an entry of the start is still in memory")
-	assert.Assert(t, oldSnapshot.Value() == nil, "the snapshot of the start is still in memory")
+	assert.Assert(t, entry.Value() == nil, "an entry of the start is still in memory")
+	assert.Assert(t, snapshot.Value() == nil, "the snapshot of the start is still in memory")
 	runtime.KeepAlive(m)
 }
