Take the end of a connection for an answer's only if no write has failed

Cause: the kernel reports a reset once, to a read or to a write. Where the write of the upload gets it, a read before the transport has closed the connection finds its end, which is the end of an answer without a length. Evidence: on a connection whose write has failed with a reset the next read returns io.EOF each time.

A connection of a transport now remembers that a write failed, and its end is an error from then on. At its end a write under way is interrupted and waited for, as it may have found the reset and not returned yet. All answers of backend servers and other nodes over HTTP/1.1 are read from such a connection.

--- a/internal/link/web/connection.go
+++ b/internal/link/web/connection.go
@@ -1,8 +1,12 @@
 package web
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http/httptrace"
+	"os"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -13,13 +17,53 @@
 // noUserTimeout leaves it to the kernel's retransmissions, which take minutes, to find that a host has gone.
 const noUserTimeout time.Duration = 0
 
-// clientConn is a connection of a transport. Its fields are used by one request at a time.
+// errWriteFailed reports a connection that ended after a write on it had failed.
+var errWriteFailed = Error.New("the connection ended after a write on it had failed, so that its end may be a reset")
+
+// clientConn is a connection of a transport. An answer may end with its connection, so a read returns io.EOF only if no write has failed:
+// the kernel reports a reset once, to a read or to a write, and reads after that find nothing but an end.
 type clientConn struct {
 	net.Conn
 	raw syscall.RawConn
-	// unacknowledged is the timeout of requests that can be sent again, and current the one in force.
+	// unacknowledged is the timeout of requests that can be sent again, and current the one in force. One request at a time uses them.
 	unacknowledged time.Duration
 	current        time.Duration
+
+	writing sync.Mutex // held during a write; guards writeErr
+	// writeErr is the error of the first write that failed, nil for none.
+	writeErr error
+}
+
+// Write implements net.Conn.
+func (c *clientConn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
+	return n, err
+}
+
+// endError returns io.EOF for the end of the connection, or errWriteFailed if a write has failed. A write under way may have found a reset
+// and not returned yet; it is interrupted, as the other host may never read what it waits to send.
+func (c *clientConn) endError() error {
+	_ = c.SetWriteDeadline(time.Now()) // fails on a closed connection only, whose writes have ended
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr != nil && !errors.Is(c.writeErr, os.ErrDeadlineExceeded) {
+		return errWriteFailed
+	}
+	return io.EOF
 }
 
 // prepare sets how long the other host may leave data unacknowledged before the kernel closes the connection. The kernel counts a
