Refuse answers whose field names hold blanks

What callers saw: an upstream's answer with a blank before, within or after the name of a field reached them as an answer. A line that begins with a blank became a part of the value before it, such as the signature (MIXED); "Content-Length : 4" and "Transfer-Encoding : chunked" left the body framed in another way than the upstream meant. With such a name in a trailer, HTTP/2 callers and calls of the product got no end of the answer. Control bytes in names were refused before, and keep their cases.

Cause: net/http takes blanks in names as part of the name, and appends a line that begins with one to the value before it.

All answers of backend servers and of other nodes over HTTP/1.1 now come through web.Transport, which checks the names of head and trailer. Folded lines can't be found once net/http has read them: the connection looks for them in the bytes of a head, also after informational heads and on kept connections. A read that has failed goes on failing, as net/http passes over errors of reads ahead. The caller gets 502, may have run, or a body that breaks off.

TestAnswerWithABrokenFieldNameIsNoAnswer and TestAnswerWithABrokenFieldNameFails failed before for names with blanks, on both paths, at the server's own node, at another and for calls; TestFoldedLinesAreFoundInHeadsOnly guards the search. NewTransport moves to a file of its own.

--- a/internal/link/web/connection.go
+++ b/internal/link/web/connection.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -29,6 +30,11 @@
 	unacknowledged time.Duration
 	current        time.Duration
 
+	// expectsAnswer is set by a request, and makes the next bytes that are read the beginning of an answer's head.
+	expectsAnswer atomic.Bool
+	head          answerHead // used by Read only
+	readErr       error      // of the first read that failed, nil for none; used by Read only
+
 	writing sync.Mutex // held during a write; guards writeErr
 	// writeErr is the error of the first write that failed, nil for none.
 	writeErr error
@@ -45,12 +51,22 @@
 	return n, err
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. Once it has failed it goes on failing, as net/http passes over the errors of reads ahead.
 func (c *clientConn) Read(p []byte) (int, error) {
+	if c.readErr != nil {
+		return 0, c.readErr
+	}
 	n, err := c.Conn.Read(p)
+	if n > 0 && c.expectsAnswer.Swap(false) {
+		c.head = answerHead{active: true}
+	}
+	if c.head.scan(p[:n]) {
+		n, err = 0, errFoldedLine
+	}
 	if errors.Is(err, io.EOF) {
-		err = c.endError()
+		return n, c.endError()
 	}
+	c.readErr = err
 	return n, err
 }
 
@@ -86,6 +102,7 @@
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		a.reached.Store(true)
 		if c, ok := info.Conn.(*clientConn); ok {
+			c.expectsAnswer.Store(true)
 			_ = c.prepare(streams(length)) // fails on a closed connection only, which the request then finds
 		}
 	}}
--- a/internal/link/web/connection_reset_test.go
+++ b/internal/link/web/connection_reset_test.go
@@ -18,7 +18,7 @@
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
 	transport := NewTransport(TransportConfig{DialTimeout: time.Second, UnacknowledgedTimeout: time.Second, IdleTimeout: time.Second, IdleConnections: 4})
-	c, err = transport.DialContext(t.Context(), "tcp", l.Addr().String())
+	c, err = transport.inner.DialContext(t.Context(), "tcp", l.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	accepted, err := l.Accept()
--- a/internal/link/web/connection_test.go
+++ b/internal/link/web/connection_test.go
@@ -78,7 +78,7 @@
 // Guards against a connection on which no further request notices that the other host has gone, after one with a long body.
 func TestConnectionTimesOutAgainAfterALongBody(t *testing.T) {
 	transport := NewTransport(TransportConfig{DialTimeout: time.Second, UnacknowledgedTimeout: testUnacknowledged, IdleTimeout: time.Second, IdleConnections: 4})
-	opened, err := transport.DialContext(t.Context(), "tcp", serveAfterPause(t))
+	opened, err := transport.inner.DialContext(t.Context(), "tcp", serveAfterPause(t))
 	assert.NilError(t, err)
 	defer func() { _ = opened.Close() }()
 	c, ok := opened.(*clientConn)
--- a/internal/link/web/forward.go
+++ b/internal/link/web/forward.go
@@ -2,77 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"sync"
-	"syscall"
-	"time"
 
 	"github.com/figpier/figpier"
 )
 
-// maxAnswerHeadBytes bounds the head of an answer, with its informational ones, for servers that send a head without end.
-const maxAnswerHeadBytes = 256 << 10
-
-// keepAliveProbes is the number of unanswered keep-alive probes after which a connection is closed.
-const keepAliveProbes = 2
-
-// TransportConfig holds the settings of a transport.
-type TransportConfig struct {
-	// DialTimeout bounds the opening of a connection.
-	DialTimeout time.Duration
-	// UnacknowledgedTimeout is how long the other host may leave data or a keep-alive probe unacknowledged.
-	UnacknowledgedTimeout time.Duration
-	// IdleTimeout is how long a connection without a request is kept.
-	IdleTimeout time.Duration
-	// IdleConnections is the number of idle connections kept for each address.
-	IdleConnections int
-	// Wrap wraps each opened connection to an address. It is optional.
-	Wrap func(address string, c net.Conn) net.Conn
-}
-
-// NewTransport returns an HTTP/1.1 transport that closes connections to a host that no longer responds.
-func NewTransport(c TransportConfig) *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: c.DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     c.UnacknowledgedTimeout,
-			Interval: c.UnacknowledgedTimeout,
-			Count:    keepAliveProbes,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, c.UnacknowledgedTimeout) },
-	}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		opened, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		conn := &clientConn{Conn: opened, unacknowledged: c.UnacknowledgedTimeout, current: c.UnacknowledgedTimeout}
-		if conn.raw, err = opened.(*net.TCPConn).SyscallConn(); err != nil {
-			return nil, errors.Join(Error.Wrap(err), opened.Close())
-		}
-		if c.Wrap != nil {
-			conn.Conn = c.Wrap(address, opened)
-		}
-		return conn, nil
-	}
-	return &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: c.IdleConnections,
-		IdleConnTimeout:     c.IdleTimeout,
-		DisableCompression:  true,
-		// The default of 10 MB for each connection is more than the memory of a small instance allows.
-		MaxResponseHeaderBytes: maxAnswerHeadBytes,
-	}
-}
-
 // NewForwardRequest returns the request that forwards an inbound request to an address, and the record of this attempt. The target
 // is passed on byte for byte, and the headers are copied.
 func NewForwardRequest(ctx context.Context, address string, i *figpier.Inbound, body io.ReadCloser) (*http.Request, *Attempt) {
--- a/internal/traffic/backend/server.go
+++ b/internal/traffic/backend/server.go
@@ -53,7 +53,7 @@
 	counters  figpier.Counters
 	log       figpier.RequestLog
 	exit      http.Handler
-	transport *http.Transport
+	transport *web.Transport
 	listener  *web.Server
 
 	current atomic.Pointer[backendState]
@@ -69,7 +69,7 @@
 	}
 }
 
-func newTransport() *http.Transport {
+func newTransport() *web.Transport {
 	return web.NewTransport(web.TransportConfig{
 		DialTimeout:           dialTimeout,
 		UnacknowledgedTimeout: unacknowledgedTimeout,
--- a/internal/traffic/delivery/server.go
+++ b/internal/traffic/delivery/server.go
@@ -47,7 +47,7 @@
 	dialect   figpier.Dialect
 	counters  figpier.Counters
 	log       figpier.RequestLog
-	transport *http.Transport
+	transport *web.Transport
 	listener  *web.Server
 
 	mu   sync.Mutex // guards runs
--- a/internal/traffic/forward/forwarder.go
+++ b/internal/traffic/forward/forwarder.go
@@ -48,7 +48,7 @@
 	deliverer figpier.Deliverer
 	counters  figpier.Counters
 	log       figpier.RequestLog
-	transport *http.Transport
+	transport *web.Transport
 	// bytes counts the bytes of the connections to other nodes.
 	bytes bytecount.Counts
 
