End a request's body before its handler returns

What callers saw: an upstream answers a long upload early, and its answer breaks off as the upload ends. The caller gets the part, and then neither more nor the end of the connection until it gives up itself.

Cause: the goroutine that sends the upload on reads the body, or closes it and so reads what is left, while the handler returns. If it finds the end of the body, the HTTP server starts a read of its own, whose deadline it clears, and then waits for that read before it closes the connection.

Each handler now ends the body before it returns: no one reads on, and a read in progress is interrupted and waited for. Closing the body on the way to a server reads nothing; the HTTP server closes it when the handler returns.

--- a/internal/link/web/received_body.go
+++ b/internal/link/web/received_body.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // ReceivedBody is the body of a received request, which one goroutine may pass on while another answers the request. It keeps the HTTP
@@ -13,6 +15,7 @@
 	started atomic.Bool
 	ended   atomic.Bool
 	sealed  atomic.Bool
+	reading sync.Mutex // held during a read
 }
 
 // ReceiveBody replaces the body of a received request by a ReceivedBody, and returns it.
@@ -23,12 +26,14 @@
 	return b
 }
 
-// errSealed reports a read of a body whose request has been refused.
-var errSealed = Error.New("the request has been refused before its body was read")
+// errSealed reports a read of a body whose request has been refused or answered.
+var errSealed = Error.New("the request has been refused or answered before its body was read")
 
 // Read implements io.Reader. It fails once the body is sealed.
 func (b *ReceivedBody) Read(p []byte) (int, error) {
 	b.started.Store(true)
+	b.reading.Lock()
+	defer b.reading.Unlock()
 	if b.sealed.Load() {
 		return 0, errSealed
 	}
@@ -39,6 +44,9 @@
 	return n, err
 }
 
+// Close implements io.Closer. It leaves the body to the HTTP server, which closes it when the handler returns: a close reads what is left.
+func (b *ReceivedBody) Close() error { return nil }
+
 // PrepareAnswer prepares for an answer that may begin before the body has been read to its end. On HTTP/1.1 the connection is then
 // closed after the answer, because the rest of the body must not be read as another request.
 func (b *ReceivedBody) PrepareAnswer(w http.ResponseWriter, r *http.Request) {
@@ -57,3 +65,15 @@
 		b.PrepareAnswer(w, r)
 	}
 }
+
+// End lets no one read on and waits for a read in progress, which it interrupts. Each handler calls it before it returns: the HTTP server waits
+// for ever to close a connection on which another goroutine reads the end of a body meanwhile.
+func (b *ReceivedBody) End(w http.ResponseWriter) {
+	b.sealed.Store(true)
+	if b.started.Load() && !b.ended.Load() {
+		// The connection is closed after the answer.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	}
+	b.reading.Lock()
+	defer b.reading.Unlock()
+}
--- a/internal/traffic/backend/serve.go
+++ b/internal/traffic/backend/serve.go
@@ -31,6 +31,7 @@
 		s.counters.Observe("backend", elapsed)
 	}()
 	received := web.ReceiveBody(r)
+	defer received.End(w)
 	out, attempt := web.NewRelayRequest(run.Context(), r, run.Address(), r.Body, r.ContentLength)
 	out.Header.Set(figpier.HeaderCall, string(run.Handle()))
 	out.Header.Set(figpier.HeaderRequestID, string(c.RequestID()))
--- a/internal/traffic/delivery/server.go
+++ b/internal/traffic/delivery/server.go
@@ -120,6 +120,7 @@
 	ctx, release := web.WithEnding(r.Context(), s.ready.Ending())
 	defer release()
 	received := web.ReceiveBody(r)
+	defer received.End(w)
 	answer, err := s.deliverRemote(ctx, call, inbound(r, call, now))
 	w.Header().Set(figpier.HeaderCutOff, strconv.FormatUint(uint64(s.admission.CutOff()), 10))
 	if err != nil {
--- a/internal/traffic/exit/attempts.go
+++ b/internal/traffic/exit/attempts.go
@@ -36,6 +36,7 @@
 // live call takes note of every cut-off met on the way.
 func (h *Handler) runAttempts(ctx context.Context, w http.ResponseWriter, r *http.Request, c *figpier.Call, l figpier.LiveCall) {
 	received := web.ReceiveBody(r)
+	defer received.End(w)
 	body, err := web.NewReplayableBody(r.Context(), r.Body, r.ContentLength)
 	if err != nil {
 		h.refuse(w, c, web.AsRefusal(err))
