Make the refusal of a broken answer before closing the upload to reads

What callers saw, on the product's path: an upstream answers a long upload early with an answer that the node refuses, such as one without a length, and some callers get 400 "malformed" in place of 502, which tells them not to send the request again. 2 to 4 of 40 requests in each run of the new test, over HTTP/1.1, HTTP/2 and by calls.

Cause: the node made later reads of the body fail, and looked at why the request had failed after that. A read in between counted as a failure of the sender.

The refusal is made first now. TestAnswerThatIsResetDuringTheUploadFails failed before; it also holds the product's path to answers with lengths, chunks and trailers that are reset during the upload, where nothing else was found.

--- a/internal/traffic/backend/serve.go
+++ b/internal/traffic/backend/serve.go
@@ -38,9 +38,11 @@
 	answer, err := s.roundTrip(out)
 	if err != nil {
 		kind = failureKind(attempt, run.Context())
+		// A refusal is prepared by making further reads of the body fail, which would count as a failure of the sender.
+		refusal := s.failureRefusal(kind, attempt, run.Context(), err)
 		s.setResultHeaders(w, c, live.TakeBudget(c.Budget()), live.CutOff())
 		received.PrepareRefusal(w, r)
-		s.refuse(w, c, s.failureRefusal(kind, attempt, run.Context(), err))
+		s.refuse(w, c, refusal)
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
--- a/test/path/broken_answer_test.go
+++ b/test/path/broken_answer_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -98,3 +99,34 @@
 		}
 	}
 }
+
+// TestAnswerThatIsResetDuringTheUploadFails guards against a part of an answer that is passed on as a whole one because the write of the
+// upload found the reset, and not the read of the answer.
+func TestAnswerThatIsResetDuringTheUploadFails(t *testing.T) {
+	framings := map[string]string{
+		"no length":             "\r\npart",
+		"length":                "Content-Length: 9\r\n\r\npart",
+		"chunks":                "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"chunks up to the last": "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n",
+		"trailers":              "Trailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\nX-Sum: 1\r\n",
+	}
+	s := startBrokenServer(t)
+	for way, send := range s.send {
+		for framing, text := range framings {
+			t.Run(way+", "+framing, func(t *testing.T) {
+				for _, delay := range []time.Duration{0, 200 * time.Microsecond, time.Millisecond, 3 * time.Millisecond} {
+					s.serve(func(c net.Conn, r *http.Request) {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+text)
+						_ = c.SetReadDeadline(time.Now().Add(delay))
+						_, _ = io.Copy(io.Discard, r.Body)
+						_ = c.(*net.TCPConn).SetLinger(0)
+					})
+					for range 10 {
+						p, err := send(io.MultiReader(strings.NewReader("x"), newPatternReader(200_000)))
+						assert.Check(t, err != nil || p.status == http.StatusBadGateway, "reset after %s: %v", delay, p)
+					}
+				}
+			})
+		}
+	}
+}
