Reset the connection of an HTTP/1.0 caller whose answer breaks off

What callers saw: an answer without a length breaks off, and a caller that speaks HTTP/1.0 gets the part and then an orderly end of the connection, over TLS with its notice. It takes the part for the whole.

Cause: such an answer has no chunks in HTTP/1.0 and ends with its connection, which the HTTP server closes as after any other answer.

The connection of an HTTP/1.0 request whose handler panics is reset now, before TLS can send its notice. All listeners have it.

--- a/internal/link/web/server.go
+++ b/internal/link/web/server.go
@@ -216,7 +216,7 @@
 	p.SetHTTP2(c.TLS != nil && !c.OnlyHTTP1)
 	p.SetUnencryptedHTTP2(c.TLS == nil && !c.OnlyHTTP1)
 	return &http.Server{
-		Handler:           countRequests(c.Handler),
+		Handler:           resetUnfinished(countRequests(c.Handler)),
 		ConnContext:       withConn,
 		ConnState:         followConnState,
 		TLSConfig:         c.TLS,
--- a/internal/link/web/server_conn.go
+++ b/internal/link/web/server_conn.go
@@ -154,3 +154,38 @@
 	}
 	return context.WithValue(ctx, connKey{}, c)
 }
+
+// resetUnfinished returns a handler that resets the connection of an HTTP/1.0 request whose handler panics. The answer to such a request
+// may end with its connection, which the HTTP server would close in order, and a TLS connection even with a notice.
+func resetUnfinished(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoAtLeast(1, 1) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		finished := false
+		defer func() {
+			if !finished {
+				resetConn(r.Context())
+			}
+		}()
+		next.ServeHTTP(w, r)
+		finished = true
+	})
+}
+
+// resetConn resets the connection of a request's context.
+func resetConn(ctx context.Context) {
+	c, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
+		return
+	}
+	inner := c
+	if counted, ok := c.(*serverConn); ok {
+		inner = counted.Conn
+	}
+	if tcp, ok := inner.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // makes the close a reset
+	}
+	_ = c.Close()
+}
