Refuse answers that state another protocol than their connection's

What callers saw, on the product's path: an upstream's answer that begins with "HTTP/2.0 200", has no length and is cut off reached them as a whole one. Between nodes a part counted as whole where the other end negotiates no protocol over TLS and ends the connection without a notice; no figpier node does that.

Cause: whether an answer's end can be told from a cut was decided by the version in its first line, which net/http takes as it comes; and net/http falls back to HTTP/1.1 where HTTP/2 is not negotiated.

An HTTP/1 transport now refuses answers of another major version, and the client between nodes those that do not come over HTTP/2. The new case of TestIncompleteAnswerIsNotReportedAsComplete and TestAnswerOverTLSThatEndsWithoutANoticeIsNotWhole failed before.

--- a/internal/link/web/transport.go
+++ b/internal/link/web/transport.go
@@ -80,6 +80,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if answer.ProtoMajor != 1 {
+		// net/http takes any digit from the first line, while the answer is framed as one of HTTP/1.
+		_ = answer.Body.Close()
+		return nil, Error.New("the answer states the protocol %q, want HTTP/1", answer.Proto)
+	}
 	if err := errors.Join(checkFieldNames(answer.Header), checkFieldNames(answer.Trailer)); err != nil {
 		_ = answer.Body.Close()
 		return nil, err
--- a/internal/traffic/exit/attempts.go
+++ b/internal/traffic/exit/attempts.go
@@ -135,7 +135,7 @@
 		out.Body = http.NoBody
 	}
 	out.Header.Set(figpier.HeaderEnvelope, envelope)
-	answer, err := h.transport.RoundTrip(out) //nolint:bodyclose // closed with the result
+	answer, err := h.roundTrip(out) //nolint:bodyclose // closed with the result
 	if err != nil {
 		if !attempt.Reached() {
 			l.ReturnBudget(portion)
@@ -149,6 +149,20 @@
 	return &result{answer: answer, sent: attempt, outcome: figpier.NewOutcome(answerKind(answer), 0)}, cutOff
 }
 
+// roundTrip sends a request and returns its answer over HTTP/2. net/http falls back to HTTP/1 where the other end doesn't choose HTTP/2, and
+// takes the end of a TLS connection without a notice for the end of an answer without a length.
+func (h *Handler) roundTrip(out *http.Request) (*http.Response, error) {
+	answer, err := h.transport.RoundTrip(out)
+	if err != nil {
+		return nil, err
+	}
+	if answer.ProtoMajor < 2 {
+		_ = answer.Body.Close()
+		return nil, Error.New("the other node answers over %s, want HTTP/2", answer.Proto)
+	}
+	return answer, nil
+}
+
 // headerNumber returns a header's value as a number, or the default where it is missing, malformed or negative.
 func headerNumber(h http.Header, name string, def int) int {
 	n, err := strconv.Atoi(h.Get(name))
--- a/internal/traffic/exit/handler.go
+++ b/internal/traffic/exit/handler.go
@@ -9,10 +9,15 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/figpier/figpier"
 	"github.com/figpier/figpier/internal/link/web"
 )
 
+// Error is the class of errors of other nodes' answers.
+var Error = errs.Class("exit")
+
 // idleTimeout is how long an idle connection to another node is kept open.
 const idleTimeout = 30 * time.Second
 
--- a/test/path/forwarding_test.go
+++ b/test/path/forwarding_test.go
@@ -36,6 +36,7 @@
 		"inside the head":     "HTTP/1.1 200 OK\r\nContent-Le",
 		"switched protocols":  "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nhalf",
 		"HTTP/1.0, no length": "HTTP/1.0 200 OK\r\n\r\nhalf",
+		"HTTP/2.0, no length": "HTTP/2.0 200 OK\r\n\r\nhalf",
 	}
 	for name, text := range answers {
 		for protocol, http2 := range protocols {
