Let the server discard the rest of an upload after a whole answer

Cause: the deadline that interrupts a read was set after each answer, so that the HTTP server could not discard what was left of the body, and closed the connection with bytes unread. Evidence: TestEarlyAnswerReachesACallerThatSendsOn fails on and passes without the interruption.

The same answer is lost where the upload is still sent on when it ends, also on: the HTTP server itself interrupts that read.

--- a/internal/link/web/received_body.go
+++ b/internal/link/web/received_body.go
@@ -66,14 +66,17 @@
 	}
 }
 
-// End lets no one read on and waits for a read in progress, which it interrupts. Each handler calls it before it returns: the HTTP server waits
-// for ever to close a connection on which another goroutine reads the end of a body meanwhile.
+// End lets no one read on. Each handler defers it. If the handler panics, which ends the connection in the middle of its answer, End also
+// interrupts a read in progress and waits for it: the HTTP server waits for ever to close a connection on which another goroutine reads the
+// end of a body meanwhile. After a whole answer the HTTP server discards what is left of the body, which an interrupted read would prevent.
 func (b *ReceivedBody) End(w http.ResponseWriter) {
 	b.sealed.Store(true)
-	if b.started.Load() && !b.ended.Load() {
-		// The connection is closed after the answer.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	cause := recover()
+	if cause == nil {
+		return
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 	b.reading.Lock()
 	defer b.reading.Unlock()
+	panic(cause)
 }
